--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration document, its checks and the fold of the log."""
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on waiting, retrying and load at a backend server."""
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entry VMs: who is here, who owns what, which addresses to hand out."""
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/ring.py
@@ -0,0 +1,44 @@
+"""Order of entry VMs on a ring, and owners by rendezvous hashing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+
+def ring_successors(
+    own_name: str,
+    names: Iterable[str],
+    count: int,
+) -> tuple[str, ...]:
+    """Return the ``count`` names that follow one's own on the ring."""
+    others = sorted(
+        (name for name in names if name != own_name),
+        key=_point,
+    )
+    own_point = _point(own_name)
+    after = [one for one in others if _point(one) > own_point]
+    before = others[: len(others) - len(after)]
+    return tuple((after + before)[:count])
+
+
+def owners(
+    subject: str,
+    names: Iterable[str],
+    count: int,
+) -> tuple[str, ...]:
+    """Return the ``count`` owners of a subject, the first one first.
+
+    When a name leaves, only the subjects that it owned move.
+    """
+    ranked = sorted(
+        names,
+        key=lambda name: (_point(f'{subject} {name}'), name),
+        reverse=True,
+    )
+    return tuple(ranked[:count])
+
+
+def _point(name: str) -> int:
+    return xxh3_64_intdigest(name.encode('utf-8'))
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/view.py
@@ -0,0 +1,203 @@
+"""Membership view from the lagging VM list and from heartbeats.
+
+An entry VM exchanges heartbeats with a fixed number of neighbours on a
+ring, whatever the number of VMs. Facts travel with the heartbeats, so the
+cost of membership does not grow with the number of VMs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from turmericpost_core.membership.facts import (
+    VmFact,
+    VmState,
+    merge,
+)
+from turmericpost_core.membership.ring import ring_successors
+
+_MIN_REPEATS = 4
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """Numbers of the membership protocol."""
+
+    neighbours: int = 3
+    lost_after_s: float = 1.2
+    forget_after_s: float = 60
+    facts_per_heartbeat: int = 8
+
+
+class MembershipView:
+    """What one entry VM believes of all of them."""
+
+    def __init__(
+        self,
+        own: VmFact,
+        settings: MembershipSettings,
+    ) -> None:
+        self.own = own
+        self._settings = settings
+        self._facts: dict[str, VmFact] = {}
+        self._listed: frozenset[str] = frozenset()
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._heard_at_s: dict[str, float] = {}
+        self._lost_at_s: dict[str, float] = {}
+        self._repeats: dict[str, int] = {}
+        self._next_refresh = 0
+
+    def live(self) -> tuple[VmFact, ...]:
+        """Return the VMs that take calls, this one included, by name."""
+        others = (
+            fact
+            for name, fact in self._facts.items()
+            if fact.state is VmState.LIVE and name not in self._listed_leaving
+        )
+        own = (self.own,) if self.own.state is VmState.LIVE else ()
+        return tuple(sorted((*own, *others), key=_name))
+
+    def known(self) -> tuple[VmFact, ...]:
+        """Return every VM that is not lost, this one included, by name."""
+        others = (
+            fact
+            for fact in self._facts.values()
+            if fact.state is not VmState.LOST
+        )
+        return tuple(sorted((self.own, *others), key=_name))
+
+    def all_facts(self) -> tuple[VmFact, ...]:
+        """Return every fact held, lost VMs included."""
+        return (self.own, *self._facts.values())
+
+    def neighbours(self) -> tuple[str, ...]:
+        """Return the VMs to hold a stream with: ring successors."""
+        present = (
+            name
+            for name, fact in self._facts.items()
+            if fact.state is not VmState.LOST
+        )
+        return ring_successors(
+            self.own.identity.name,
+            present,
+            self._settings.neighbours,
+        )
+
+    def listed_but_absent(self) -> tuple[str, ...]:
+        """Return listed VMs that are lost or were never heard of."""
+        return tuple(
+            name for name in sorted(self._listed) if self._is_absent(name)
+        )
+
+    def next_facts(self) -> tuple[VmFact, ...]:
+        """Return the facts of the next heartbeat: own, changed, one old."""
+        changed = [self._facts[name] for name in self._repeats]
+        room = self._settings.facts_per_heartbeat
+        return (self.own, *changed[:room], *self._refreshed())
+
+    def heartbeat_sent(self) -> None:
+        """Count down the facts that the last heartbeat round carried."""
+        room = self._settings.facts_per_heartbeat
+        for name in tuple(self._repeats)[:room]:
+            self._repeats[name] -= 1
+            if not self._repeats[name]:
+                self._repeats.pop(name)
+        self._next_refresh += 1
+
+    def record_list(
+        self,
+        listed: Iterable[str],
+        leaving: Iterable[str],
+    ) -> None:
+        """Take in the platform's VM list."""
+        own_name = self.own.identity.name
+        self._listed = frozenset(listed) - {own_name}
+        self._listed_leaving = frozenset(leaving) - {own_name}
+
+    def record_heartbeat(
+        self,
+        sender: str,
+        facts: Iterable[VmFact],
+        now_s: float,
+    ) -> bool:
+        """Take in a heartbeat; return whether the view changed."""
+        if sender in self._heard_at_s:
+            self._heard_at_s[sender] = now_s
+        changes = [self._learn(fact, now_s) for fact in facts]
+        known = self._facts.get(sender)
+        if known is not None and known.state is VmState.LOST:
+            self._repeats[sender] = _MIN_REPEATS
+        return any(changes)
+
+    def watch(self, names: Iterable[str], now_s: float) -> None:
+        """Time the silence of these neighbours, and of no others."""
+        self._heard_at_s = {
+            name: self._heard_at_s.get(name, now_s) for name in names
+        }
+
+    def record_silence(self, now_s: float) -> bool:
+        """Mark silent neighbours lost; return whether the view changed."""
+        silent = [
+            name
+            for name, heard_s in self._heard_at_s.items()
+            if now_s - heard_s > self._settings.lost_after_s
+        ]
+        changed = False
+        for name in silent:
+            self._heard_at_s.pop(name)
+            fact = self._facts.get(name)
+            if fact is not None and fact.state is not VmState.LOST:
+                self._learn(replace(fact, state=VmState.LOST), now_s)
+                changed = True
+        self._forget(now_s)
+        return changed
+
+    def set_own(self, state: VmState, revision: int) -> None:
+        """Change what this VM says of itself."""
+        self.own = replace(self.own, state=state, revision=revision)
+
+    def _is_absent(self, name: str) -> bool:
+        fact = self._facts.get(name)
+        return fact is None or fact.state is VmState.LOST
+
+    def _learn(self, fact: VmFact, now_s: float) -> bool:
+        name = fact.identity.name
+        if name == self.own.identity.name:
+            return self._refute(fact)
+        known = self._facts.get(name)
+        if known is not None and merge(known, fact) is known:
+            return False
+        self._facts[name] = fact
+        self._repeats[name] = _MIN_REPEATS + len(self._facts).bit_length()
+        if fact.state is VmState.LOST:
+            self._lost_at_s[name] = now_s
+        else:
+            self._lost_at_s.pop(name, None)
+        return known is None or known.state is not fact.state
+
+    def _refute(self, fact: VmFact) -> bool:
+        if fact.incarnation != self.own.incarnation:
+            return False
+        if fact.state is VmState.LOST and fact.standing > self.own.standing:
+            self.own = replace(self.own, refutation=fact.refutation + 1)
+            return True
+        return False
+
+    def _refreshed(self) -> tuple[VmFact, ...]:
+        names = sorted(self._facts.keys() - self._repeats.keys())
+        if not names:
+            return ()
+        return (self._facts[names[self._next_refresh % len(names)]],)
+
+    def _forget(self, now_s: float) -> None:
+        for name, lost_s in tuple(self._lost_at_s.items()):
+            expired = now_s - lost_s > self._settings.forget_after_s
+            if expired and name not in self._listed:
+                self._lost_at_s.pop(name)
+                self._facts.pop(name, None)
+                self._repeats.pop(name, None)
+
+
+def _name(fact: VmFact) -> str:
+    return fact.identity.name
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operation keys: at most one run of a non-idempotent operation."""
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/__init__.py
@@ -0,0 +1,1 @@
+"""What a caller is told about its call, and why."""
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
@@ -0,0 +1,55 @@
+"""Outcomes, refusal reasons and retry reasons; their values are on the wire."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What is known about the run of a call at a backend server."""
+
+    COMPLETE = 'complete'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class RefusalReason(Enum):
+    """Why a call ends without the answer of a backend server."""
+
+    MALFORMED_REQUEST = 'malformed-request'
+    HEADERS_TOO_LARGE = 'headers-too-large'
+    BODY_TOO_LARGE = 'body-too-large'
+    SLOW_CALLER = 'slow-caller'
+    UPGRADE_UNSUPPORTED = 'upgrade-unsupported'
+    TOO_DEEP = 'too-deep'
+    NOT_READY = 'not-ready'
+    UNKNOWN_SERVICE = 'unknown-service'
+    UNKNOWN_ACCOUNT = 'unknown-account'
+    OUTSIDE_HOME_REGIONS = 'outside-home-regions'
+    NO_ELIGIBLE_BACKEND = 'no-eligible-backend'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE_EXCEEDED = 'deadline-exceeded'
+    RETRY_BUDGET_EMPTY = 'retry-budget-empty'
+    SHED_BY_BACKEND = 'shed-by-backend'
+    SERVER_ERROR = 'server-error'
+    CONNECT_FAILED = 'connect-failed'
+    CONNECTION_LOST = 'connection-lost'
+    TRUNCATED_ANSWER = 'truncated-answer'
+    MALFORMED_ANSWER = 'malformed-answer'
+    UNFRAMED_ANSWER = 'unframed-answer'
+    KEY_REUSED = 'key-reused'
+    KEY_TABLE_FULL = 'key-table-full'
+    KEY_OWNER_LOST = 'key-owner-lost'
+    KEY_ANSWER_NOT_KEPT = 'key-answer-not-kept'
+    KEY_FIRST_RUN_UNKNOWN = 'key-first-run-unknown'
+    CALLER_GONE = 'caller-gone'
+
+
+class RetryReason(Enum):
+    """Why a call is sent to a second backend server."""
+
+    CONNECT_FAILED = 'connect-failed'
+    SHED_BY_BACKEND = 'shed-by-backend'
+    CONNECTION_LOST = 'connection-lost'
+    TRUNCATED_ANSWER = 'truncated-answer'
+    SERVER_ERROR = 'server-error'
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend servers may serve a call, and which one does."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/__init__.py
@@ -0,0 +1,1 @@
+"""Entry VM process of the turmericpost load balancer."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/__main__.py
@@ -0,0 +1,8 @@
+"""Run the binary as a module."""
+
+from __future__ import annotations
+
+from turmericpost.run import run
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration over HTTP."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/admin/resources.py
@@ -0,0 +1,167 @@
+"""Resources of the admin port."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from turmericpost.admin.publishing import publish_change
+from turmericpost.admin.views import (
+    AdminState,
+    configuration_view,
+    explain_view,
+    history_view,
+    plan_view,
+    status_view,
+)
+from turmericpost.forward.call_facts import home_region_set
+from turmericpost.forward.refusals import refusal_status
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.exposition import exposition
+from turmericpost_core.routing.facts import CallFacts
+
+_JSON = b'application/json'
+_PROBLEM = b'application/problem+json'
+_METRICS_TEXT = b'text/plain; version=0.0.4; charset=utf-8'
+
+
+def admin_root(state: AdminState) -> Resource:
+    """Return the root of the admin port."""
+    api = Resource()
+    views: dict[bytes, Callable[[AdminState], dict[str, Any]]] = {
+        b'status': status_view,
+        b'configuration': configuration_view,
+        b'history': history_view,
+        b'plan': plan_view,
+    }
+    for name, view in views.items():
+        api.putChild(name, ViewResource(state, view))
+    api.putChild(b'explain', ExplainResource(state))
+    api.putChild(b'changes', ChangesResource(state))
+    root = Resource()
+    root.putChild(b'v1', api)
+    root.putChild(b'metrics', MetricsResource(state))
+    return root
+
+
+class ViewResource(Resource):
+    """A JSON view of the state."""
+
+    isLeaf = True  # noqa: N815, WPS115
+
+    def __init__(
+        self,
+        state: AdminState,
+        view: Callable[[AdminState], dict[str, Any]],
+    ) -> None:
+        super().__init__()
+        self._state = state
+        self._view = view
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        """Answer with the view."""
+        return _json_body(request, HTTPStatus.OK, self._view(self._state))
+
+
+class MetricsResource(Resource):
+    """Metrics in the Prometheus text format."""
+
+    isLeaf = True  # noqa: N815, WPS115
+
+    def __init__(self, state: AdminState) -> None:
+        super().__init__()
+        self._state = state
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        """Answer with the metrics."""
+        request.setHeader(b'content-type', _METRICS_TEXT)
+        return exposition(self._state.metrics)
+
+
+class ExplainResource(Resource):
+    """Why backend servers may or may not serve a call."""
+
+    isLeaf = True  # noqa: N815, WPS115
+
+    def __init__(self, state: AdminState) -> None:
+        super().__init__()
+        self._state = state
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        """Answer for the call described by the query."""
+        facts = CallFacts(
+            service=_argument(request, b'service', ''),
+            account=_argument(request, b'account', ''),
+            method=_argument(request, b'method', 'GET').upper(),
+            path=_argument(request, b'path', '/'),
+            asked_home_regions=home_region_set(
+                _argument(request, b'home_regions', '') or None,
+            ),
+        )
+        explained = explain_view(self._state, facts)
+        if explained.is_ok():
+            return _json_body(request, HTTPStatus.OK, explained.unwrap())
+        reason = explained.unwrap_err()
+        status = refusal_status(reason)
+        problem = {
+            'type': f'urn:turmericpost:refusal:{reason.value}',
+            'title': reason.value.replace('-', ' '),
+            'status': status.value,
+        }
+        return _json_body(request, status, problem)
+
+
+class ChangesResource(Resource):
+    """Takes changes of the configuration."""
+
+    isLeaf = True  # noqa: N815, WPS115
+
+    def __init__(self, state: AdminState) -> None:
+        super().__init__()
+        self._state = state
+
+    def render_POST(self, request: Request) -> int:  # noqa: N802
+        """Publish the change in the body."""
+        publishing = Deferred.fromCoroutine(self._publish(request))
+        publishing.addErrback(_fail, request)
+        gone = request.notifyFinish()
+        gone.addErrback(lambda _failure: publishing.cancel())
+        return NOT_DONE_YET
+
+    async def _publish(self, request: Request) -> None:
+        reply = await publish_change(self._state, request.content.read())
+        request.write(_json_body(request, reply.status, reply.body))
+        request.finish()
+
+
+def _json_body(
+    request: Request,
+    status: HTTPStatus,
+    body: dict[str, Any],
+) -> bytes:
+    is_error = status >= HTTPStatus.BAD_REQUEST
+    request.setResponseCode(status.value)
+    request.setHeader(b'content-type', _PROBLEM if is_error else _JSON)
+    return json.dumps(body).encode()
+
+
+def _argument(request: Request, name: bytes, default: str) -> str:
+    texts = request.args.get(name)
+    return texts[0].decode('utf-8', 'replace') if texts else default
+
+
+def _fail(failure: Any, request: Request) -> None:
+    log_event(
+        LogEvent.UNEXPECTED_FAILURE,
+        error=failure.type.__name__,
+        detail=failure.getErrorMessage(),
+    )
+    if not (request.finished or request._disconnected):  # noqa: SLF001
+        request.setResponseCode(HTTPStatus.INTERNAL_SERVER_ERROR.value)
+        request.finish()
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/admin/settings.py
@@ -0,0 +1,22 @@
+"""Settings of the admin port."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from turmericpost.settings.declare import Bounds, setting
+
+
+@dataclass(frozen=True)
+class AdminSettings:
+    """Where operators connect."""
+
+    admin_host: str = setting(
+        'IP number operators connect to',
+        default='127.0.0.1',
+    )
+    admin_port: int = setting(
+        'port operators connect to; 0 takes a free one',
+        default=8081,
+        bounds=Bounds(0, 65535),
+    )
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the turmericpost binary."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/commands/settings_command.py
@@ -0,0 +1,32 @@
+"""Commands that take the settings of an entry process."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from dataclasses import asdict
+
+from turmericpost.settings.errors import SettingError
+from turmericpost.settings.flags import FlagTexts
+from turmericpost.settings.groups import resolve_settings
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+
+def check_settings(flags: FlagTexts) -> int:
+    """Print the resolved settings, or one line for each error."""
+    resolved = resolve_settings(flags, os.environ)
+    if resolved.is_err():
+        return report_errors(resolved.unwrap_err())
+    sys.stdout.write(json.dumps(asdict(resolved.unwrap()), indent=2))
+    sys.stdout.write('\n')
+    return EXIT_OK
+
+
+def report_errors(errors: tuple[SettingError, ...]) -> int:
+    """Print one line for each error and return the exit status."""
+    for error in errors:
+        sys.stderr.write(f'turmericpost: {error}\n')
+    return EXIT_USAGE
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/forward/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a call through an entry VM."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call.py
@@ -0,0 +1,272 @@
+"""The way of one call: wait, attempt, judge, retry or answer."""
+
+from __future__ import annotations
+
+from typing import Protocol as Interface
+
+from twisted.internet.interfaces import IDelayedCall
+
+from turmericpost.forward.answer import HeldAnswer
+from turmericpost.forward.attempt import BackendAttempt
+from turmericpost.forward.call_facts import CallRequest
+from turmericpost.forward.refusals import refuse_exchange
+from turmericpost.forward.request_body import RequestBody
+from turmericpost.forward.request_head import forwarded_head
+from turmericpost.http1.client import BackendConnection
+from turmericpost.http1.exchange import Exchange
+from turmericpost.http1.heads import ResponseHead
+from turmericpost_core.config.document import BackendServer
+from turmericpost_core.outcome.ledger import (
+    Attempt,
+    AttemptEnd,
+    CallLedger,
+    FinalAnswer,
+    record_attempt,
+    refused_outcome,
+    retry_reason,
+)
+from turmericpost_core.outcome.reasons import (
+    Outcome,
+    RefusalReason,
+    RetryReason,
+)
+from turmericpost_core.routing.table import Route
+
+_MS_PER_S = 1000
+_RETRIED_STATUSES = frozenset((502, 503, 504))
+
+
+class CallHost(Interface):
+    """The entry VM as a call sees it."""
+
+    def now_s(self) -> float:
+        """Return monotonic seconds."""
+
+    def dispatch(self, call: ForwardedCall) -> None:
+        """Start an attempt, or let the call wait for a free slot."""
+
+    def stop_waiting(self, call: ForwardedCall) -> None:
+        """Take a call out of the waiting ones."""
+
+    def slot_freed(self, service: str) -> None:
+        """Give the freed slot to a waiting call."""
+
+    def may_retry(self, call: ForwardedCall) -> bool:
+        """Return whether limits and budget allow another attempt."""
+
+    def record_retry(self, call: ForwardedCall, reason: RetryReason) -> None:
+        """Count a retry and take it from the budget."""
+
+    def record_answered(self, call: ForwardedCall) -> None:
+        """Count a call that got its whole answer."""
+
+    def record_refused(
+        self,
+        call: ForwardedCall,
+        outcome: Outcome,
+        reason: RefusalReason,
+    ) -> None:
+        """Count a refusal."""
+
+
+class ForwardedCall:
+    """A call from its head to its answer."""
+
+    def __init__(
+        self,
+        host: CallHost,
+        exchange: Exchange,
+        request: CallRequest,
+        route: Route,
+        answer: HeldAnswer,
+        body: RequestBody,
+        deadline_ms: int,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.tried: set[str] = set()
+        self.begun_s = host.now_s()
+        self.deadline_s = self.begun_s + deadline_ms / _MS_PER_S
+        self.body = body
+        self.is_waiting = False
+        self._host = host
+        self._exchange = exchange
+        self._answer = answer
+        repeatable = route.idempotent and request.depth == 0
+        self._ledger = CallLedger(repeatable=repeatable)
+        self._attempt: BackendAttempt | None = None
+        self._deadline_timer: IDelayedCall | None = None
+        self._is_over = False
+
+    @property
+    def attempts(self) -> int:
+        """Attempts ended so far."""
+        return self._ledger.attempts
+
+    def set_deadline_timer(self, timer: IDelayedCall) -> None:
+        """Keep the timer that ends the call at its deadline."""
+        self._deadline_timer = timer
+
+    def begin(self) -> None:
+        """Take the body and look for a backend server."""
+        self._exchange.accept_body(self)
+        if not self._is_over:
+            self._host.dispatch(self)
+
+    def start_attempt(
+        self,
+        backend: BackendServer,
+        attempt: BackendAttempt,
+    ) -> None:
+        """Send the call to a backend server."""
+        self.tried.add(backend.address)
+        self._attempt = attempt
+        attempt.start()
+
+    def deadline_passed(self) -> None:
+        """Give the call up at its deadline."""
+        self._give_up(AttemptEnd.DEADLINE, RefusalReason.DEADLINE_EXCEEDED)
+
+    def refuse(self, reason: RefusalReason) -> None:
+        """End the call without an answer of a backend server."""
+        self._conclude(FinalAnswer(refused_outcome(self._ledger), reason))
+
+    def body_received(self, body: bytes) -> None:
+        """Send or keep a part of the body."""
+        self.body.add(body)
+        if self.body.waiting_bytes > self.body.max_waiting_bytes:
+            self._exchange.pause_body()
+
+    def body_complete(self) -> None:
+        """Send the end of the body."""
+        self.body.complete()
+
+    def body_failed(self, reason: RefusalReason) -> None:
+        """Give the call up: its body can't be received."""
+        self._give_up(AttemptEnd.CALLER_GONE, reason)
+
+    def caller_gone(self) -> None:
+        """Cancel the work nobody waits for."""
+        self._give_up(AttemptEnd.CALLER_GONE, RefusalReason.CALLER_GONE)
+
+    def pause_answer(self) -> None:
+        """Stop reading the answer: the caller reads slowly."""
+        if self._attempt is not None:
+            self._attempt.pause_answer()
+
+    def resume_answer(self) -> None:
+        """Go on reading the answer."""
+        if self._attempt is not None:
+            self._attempt.resume_answer()
+
+    def write_request(self, connection: BackendConnection) -> None:
+        """Write the head, then the body as far as it is there."""
+        left_s = self.deadline_s - self._host.now_s()
+        head = forwarded_head(
+            self._exchange.head,
+            max(int(left_s * _MS_PER_S), 1),
+            self.request.depth + 1,
+        )
+        connection.write(head + self.body.attach(connection))
+        self._exchange.resume_body()
+
+    def request_is_sent(self) -> bool:
+        """Return whether the whole request has been written."""
+        return self.body.is_complete
+
+    def is_head_request(self) -> bool:
+        """Return whether the method is HEAD."""
+        return self._exchange.head.method == 'HEAD'
+
+    def attempt_head(self, head: ResponseHead) -> bool:
+        """Take the head, unless another attempt is the better answer."""
+        if head.status in _RETRIED_STATUSES and self._may_repeat():
+            return False
+        self._answer.begin(head)
+        return True
+
+    def attempt_body(self, body: bytes) -> None:
+        """Pass on a part of the answer."""
+        self._answer.add(body)
+
+    def attempt_ended(self, attempt: Attempt) -> None:
+        """Answer, retry or refuse."""
+        self._attempt = None
+        self.body.detach()
+        self._ledger = record_attempt(self._ledger, attempt)
+        if not self._is_over:
+            self._settle(attempt)
+        self._host.slot_freed(self.route.service.name)
+
+    def pause_request(self) -> None:
+        """Stop reading the body: the backend server reads slowly."""
+        self._exchange.pause_body()
+
+    def resume_request(self) -> None:
+        """Go on reading the body."""
+        self._exchange.resume_body()
+
+    def _settle(self, attempt: Attempt) -> None:
+        if attempt.end is AttemptEnd.WHOLE_ANSWER:
+            self._close()
+            self._answer.end()
+            self._host.record_answered(self)
+        elif self._answer.is_streaming:
+            reason = retry_reason(self._ledger, attempt)
+            self._break_off(attempt, reason.err())
+        else:
+            self._answer.discard()
+            self._retry_or_refuse(attempt)
+
+    def _break_off(self, attempt: Attempt, final: FinalAnswer | None) -> None:
+        self._close()
+        self._exchange.abort()
+        reason = RefusalReason.TRUNCATED_ANSWER
+        if final is not None and final.reason is not None:
+            reason = final.reason
+        self._host.record_refused(self, Outcome.UNKNOWN, reason)
+
+    def _retry_or_refuse(self, attempt: Attempt) -> None:
+        decision = retry_reason(self._ledger, attempt)
+        if decision.is_err():
+            self._conclude(decision.unwrap_err())
+        elif self.body.is_replayable and self._host.may_retry(self):
+            self._host.record_retry(self, decision.unwrap())
+            self._host.dispatch(self)
+        else:
+            self.refuse(RefusalReason(decision.unwrap().value))
+
+    def _may_repeat(self) -> bool:
+        if not (self._ledger.repeatable and self.body.is_replayable):
+            return False
+        return self._host.may_retry(self)
+
+    def _give_up(self, end: AttemptEnd, reason: RefusalReason) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        if self.is_waiting:
+            self._host.stop_waiting(self)
+        if self._attempt is not None:
+            self._attempt.cancel(end)
+        self._is_over = False
+        if self._answer.is_streaming:
+            self._close()
+            self._exchange.abort()
+            self._host.record_refused(self, Outcome.UNKNOWN, reason)
+        else:
+            self.refuse(reason)
+
+    def _conclude(self, final: FinalAnswer) -> None:
+        if self._is_over or final.reason is None:
+            return
+        self._close()
+        self._host.record_refused(self, final.outcome, final.reason)
+        if not self._exchange.is_over:
+            refuse_exchange(self._exchange, final.outcome, final.reason)
+
+    def _close(self) -> None:
+        self._is_over = True
+        self._answer.stop_timer()
+        if self._deadline_timer is not None and self._deadline_timer.active():
+            self._deadline_timer.cancel()
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/forward/request_head.py
@@ -0,0 +1,30 @@
+"""Head of a request as it goes to a backend server."""
+
+from __future__ import annotations
+
+from turmericpost.forward.answer import VIA_FIELD
+from turmericpost.forward.call_facts import DEADLINE, DEPTH
+from turmericpost.http1.heads import (
+    EXPECT,
+    TRANSFER_ENCODING,
+    RequestHead,
+    end_to_end,
+    render_request,
+)
+
+_REPLACED = frozenset((EXPECT, DEADLINE, DEPTH))
+_CHUNKED = (TRANSFER_ENCODING, b'chunked')
+
+
+def forwarded_head(head: RequestHead, deadline_ms: int, depth: int) -> bytes:
+    """Return the bytes of the head with deadline and depth brought up to now.
+
+    Hop-by-hop fields are dropped; the framing of the body stays.
+    """
+    headers = end_to_end(head.headers, _REPLACED)
+    headers.append(VIA_FIELD)
+    headers.append((DEADLINE, b'%d' % deadline_ms))
+    headers.append((DEPTH, b'%d' % depth))
+    if head.content_length is None:
+        headers.append(_CHUNKED)
+    return render_request(head.method, head.target, headers)
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/forward/well_known.py
@@ -0,0 +1,124 @@
+"""Address answers: which entry VMs a caller should use for a service."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from urllib.parse import parse_qs, urlsplit
+
+from result import Err, Ok, Result
+
+from turmericpost.forward.call_facts import (
+    ACCOUNT,
+    HOME_REGIONS,
+    home_region_set,
+)
+from turmericpost.forward.refusals import refuse_exchange
+from turmericpost.http1.exchange import Exchange
+from turmericpost_core.membership.answers import answer_vms
+from turmericpost_core.membership.facts import VmFact
+from turmericpost_core.operations.keys import key_prefix
+from turmericpost_core.outcome.reasons import Outcome, RefusalReason
+from turmericpost_core.routing.facts import CallFacts
+from turmericpost_core.routing.table import RoutingTable
+
+_ADDRESSES_PATH = '/.well-known/turmericpost/addresses'
+
+
+@dataclass(frozen=True)
+class AnswerSource:
+    """What address answers are made from."""
+
+    table: Callable[[], RoutingTable | None]
+    live_vms: Callable[[], tuple[VmFact, ...]]
+    own_region: str
+    record_refusal: Callable[[RefusalReason], None]
+
+
+class AddressAnswers:
+    """Answers requests for addresses."""
+
+    def __init__(self, source: AnswerSource) -> None:
+        self._source = source
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        answer = self._answer(exchange)
+        if answer.is_err():
+            reason = answer.unwrap_err()
+            self._source.record_refusal(reason)
+            refuse_exchange(exchange, Outcome.NOT_RUN, reason)
+            return
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'turmericpost-outcome', b'complete'),
+        ]
+        exchange.send_whole(HTTPStatus.OK, headers, answer.unwrap())
+
+    def _answer(self, exchange: Exchange) -> Result[bytes, RefusalReason]:
+        url = urlsplit(exchange.head.target.decode('latin-1'))
+        services = parse_qs(url.query).get('service', [])
+        if url.path != _ADDRESSES_PATH or len(services) != 1:
+            return Err(RefusalReason.MALFORMED_REQUEST)
+        table = self._source.table()
+        if table is None:
+            return Err(RefusalReason.NOT_READY)
+        facts = _facts(exchange, services[0])
+        return table.admits(facts).and_then(
+            lambda home_regions: self._render(table, facts, home_regions),
+        )
+
+    def _render(
+        self,
+        table: RoutingTable,
+        facts: CallFacts,
+        home_regions: frozenset[str] | None,
+    ) -> Result[bytes, RefusalReason]:
+        limits = table.document.limits
+        vms = answer_vms(
+            facts.service,
+            self._vms_in_service(table),
+            home_regions,
+            self._source.own_region,
+            limits.owners_per_service,
+        )
+        if not vms:
+            return Err(RefusalReason.NOT_READY)
+        answer = {
+            'addresses': [
+                {
+                    'host': fact.identity.caller_host,
+                    'port': fact.identity.caller_port,
+                }
+                for fact in vms
+            ],
+            'valid_for_s': limits.answers_valid_s,
+            'operation_key_prefix': key_prefix(vms[0]),
+        }
+        return Ok(json.dumps(answer).encode())
+
+    def _vms_in_service(self, table: RoutingTable) -> tuple[VmFact, ...]:
+        live = self._source.live_vms()
+        kept = tuple(
+            fact
+            for fact in live
+            if fact.identity.failure_domain not in table.domains_out
+        )
+        return kept or live
+
+
+def _facts(exchange: Exchange, service: str) -> CallFacts:
+    head = exchange.head
+    account = head.first(ACCOUNT) or b''
+    regions = head.first(HOME_REGIONS)
+    return CallFacts(
+        service=service,
+        account=account.decode('latin-1').strip(),
+        method='GET',
+        path='/',
+        asked_home_regions=home_region_set(
+            None if regions is None else regions.decode('latin-1'),
+        ),
+    )
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on Twisted transports."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/http1/client.py
@@ -0,0 +1,189 @@
+"""Connections to backend servers: one call at a time on each."""
+
+from __future__ import annotations
+
+from typing import Protocol as Interface
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from turmericpost.http1.codec import ResponseParser
+from turmericpost.http1.heads import Headers, ResponseHead
+from turmericpost_core.outcome.ledger import AttemptEnd
+
+_FIRST_FINAL_STATUS = 200
+_BODILESS = frozenset((204, 304))
+
+
+class AnswerReceiver(Interface):
+    """Takes the answer to one call."""
+
+    def answer_head(self, head: ResponseHead) -> None:
+        """Take the head of the answer."""
+
+    def answer_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+
+    def answer_end(self) -> None:
+        """Take the end of a whole answer."""
+
+    def answer_failed(self, end: AttemptEnd) -> None:
+        """Learn that no whole answer will come."""
+
+    def pause_request(self) -> None:
+        """Stop sending: the backend server reads too slowly."""
+
+    def resume_request(self) -> None:
+        """Send on."""
+
+
+@implementer(IPushProducer)
+class BackendConnection(Protocol):
+    """A connection to a backend server, kept between calls."""
+
+    def __init__(self) -> None:
+        self.is_usable = True
+        self._parser = ResponseParser(self)
+        self._receiver: AnswerReceiver | None = None
+        self._bodiless_method = False
+        self._headers: Headers = []
+        self._in_head = False
+        self._answer_begun = False
+        self._skips_message = False
+        self._ended = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set up the transport."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+
+    def begin(self, receiver: AnswerReceiver, *, to_head_request: bool) -> None:
+        """Start a call whose answer the receiver takes."""
+        self._receiver = receiver
+        self._bodiless_method = to_head_request
+        self._answer_begun = False
+
+    def write(self, wire: bytes) -> None:
+        """Send bytes of the request."""
+        self.transport.write(wire)
+
+    def pause_answer(self) -> None:
+        """Stop reading the answer."""
+        self.transport.pauseProducing()
+
+    def resume_answer(self) -> None:
+        """Go on reading the answer."""
+        self.transport.resumeProducing()
+
+    def cancel(self) -> None:
+        """Close at once; the backend server takes it as a cancellation."""
+        self._receiver = None
+        self.is_usable = False
+        self.transport.abortConnection()
+
+    def close(self) -> None:
+        """Close an unused connection."""
+        self.is_usable = False
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Parse what the backend server sent."""
+        if self._receiver is None:
+            self.cancel()
+            return
+        if self._parser.feed(data).is_err():
+            self._fail(AttemptEnd.MALFORMED)
+        elif self._ended:
+            self._end()
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: Failure = connectionDone,
+    ) -> None:
+        """Fail the call in progress."""
+        self.is_usable = False
+        lost = AttemptEnd.CONNECTION_LOST
+        self._fail(AttemptEnd.TRUNCATED if self._answer_begun else lost)
+
+    def on_message_begin(self) -> None:
+        """Start the head of a response."""
+        if self._ended:
+            self.is_usable = False
+        self._headers = []
+        self._in_head = True
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take a field; trailer fields are dropped."""
+        if self._in_head:
+            self._headers.append((name.lower(), text))
+
+    def on_headers_complete(self) -> None:
+        """Pass on the head; interim responses are dropped."""
+        self._in_head = False
+        status = self._parser.status
+        self._skips_message = status < _FIRST_FINAL_STATUS
+        if self._skips_message or self._ended or self._receiver is None:
+            return
+        self._answer_begun = True
+        has_body = not (self._bodiless_method or status in _BODILESS)
+        head = ResponseHead(status, self._headers, has_body)
+        if not head.is_framed:
+            self._fail(AttemptEnd.UNFRAMED)
+            return
+        self._receiver.answer_head(head)
+        if self._bodiless_method:
+            self._ended = True
+            self.is_usable = _keeps_alive(self._headers)
+            self._parser = ResponseParser(self)
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
+        if self._receiver is not None and not self._ended:
+            self._receiver.answer_body(body)
+
+    def on_message_complete(self) -> None:
+        """Pass on the end of the answer."""
+        if not (self._skips_message or self._ended):
+            self._ended = True
+            self.is_usable = self._parser.keeps_alive
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Pass on that the backend server reads slowly."""
+        if self._receiver is not None:
+            self._receiver.pause_request()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Pass on that the backend server reads again."""
+        if self._receiver is not None:
+            self._receiver.resume_request()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Ignore: the loss of the connection tells the same."""
+
+    def _end(self) -> None:
+        receiver = self._receiver
+        self._receiver = None
+        self._ended = False
+        if not self.is_usable:
+            self.close()
+        if receiver is not None:
+            receiver.answer_end()
+
+    def _fail(self, end: AttemptEnd) -> None:
+        receiver = self._receiver
+        self._receiver = None
+        if self.is_usable:
+            self.cancel()
+        if receiver is not None:
+            receiver.answer_failed(end)
+
+
+def _keeps_alive(headers: Headers) -> bool:
+    return all(
+        b'close' not in text.lower()
+        for name, text in headers
+        if name == b'connection'
+    )
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -0,0 +1,294 @@
+"""Caller connections: requests in, answers out, in order."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import TypeAlias
+
+from twisted.internet.interfaces import IAddress, IPushProducer
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from turmericpost.http1.codec import CodecError, RequestParser
+from turmericpost.http1.exchange import Exchange
+from turmericpost.http1.heads import Headers, RequestHead
+from turmericpost.http1.settings import CallerSettings
+from turmericpost_core.clock import Clock
+from turmericpost_core.outcome.reasons import RefusalReason
+
+_HTTP_VERSION = '1.1'
+_PIPELINED_EXCHANGES = 8
+_LINGER_S = 1
+
+ExchangeHandler: TypeAlias = Callable[[Exchange], None]
+
+
+@implementer(IPushProducer)
+class CallerConnection(Protocol):
+    """One connection of a caller.
+
+    Reading goes on while a call is in progress, so that a caller who goes
+    away is noticed at once. A second request waits for the first answer.
+    """
+
+    def __init__(self, port: CallerPort) -> None:
+        self._port = port
+        self._parser = RequestParser(self)
+        self._exchanges: deque[Exchange] = deque()
+        self._receiving: Exchange | None = None
+        self._target = b''
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._head_begun_s: float | None = None
+        self._progress_s = port.clock.monotonic_s()
+        self._answer_paused = False
+        self._reading_held = False
+        self._closing = False
+        self._unreadable = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the VM is leaving."""
+        return self._port.is_draining
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set up the transport."""
+        self._port.connections.add(self)
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: Failure = connectionDone,
+    ) -> None:
+        """Cancel what the caller waited for."""
+        self._closing = True
+        self._port.connections.discard(self)
+        exchanges = tuple(self._exchanges)
+        self._exchanges.clear()
+        for exchange in exchanges:
+            exchange.caller_gone()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Parse what the caller sent."""
+        self._progress_s = self._port.clock.monotonic_s()
+        if self._closing or self._unreadable:
+            return
+        fed = self._parser.feed(data)
+        if fed.is_err():
+            self._unreadable = True
+            self._reject(_codec_refusal(fed.unwrap_err()))
+        elif self._head_begun_s is not None:
+            self._check_head_size(len(data))
+
+    def on_message_begin(self) -> None:
+        """Start the head of a request."""
+        self._target = b''
+        self._headers = []
+        self._head_bytes = 0
+        self._head_begun_s = self._progress_s
+
+    def on_url(self, target: bytes) -> None:
+        """Take a part of the request target."""
+        self._target += target
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take a field; trailer fields are dropped."""
+        if self._head_begun_s is not None:
+            self._headers.append((name.lower(), text))
+
+    def on_headers_complete(self) -> None:
+        """Begin the exchange."""
+        self._head_begun_s = None
+        if self._closing:
+            return
+        head = RequestHead(
+            self._parser.method,
+            self._target,
+            self._headers,
+            self._parser.keeps_alive,
+        )
+        exchange = Exchange(head, self, self._port.settings.max_body_bytes)
+        self._receiving = exchange
+        self._exchanges.append(exchange)
+        if self._parser.version != _HTTP_VERSION:
+            exchange.fail_body(RefusalReason.MALFORMED_REQUEST)
+        if _size(head) > self._port.settings.max_header_bytes:
+            exchange.fail_body(RefusalReason.HEADERS_TOO_LARGE)
+        if head.content_length == 0:
+            exchange.end_body()
+        if len(self._exchanges) == 1:
+            self._port.handle(exchange)
+        elif len(self._exchanges) > _PIPELINED_EXCHANGES:
+            self.hold_reading(held=True)
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
+        if self._receiving is not None:
+            self._receiving.receive_body(body)
+
+    def on_message_complete(self) -> None:
+        """Pass on the end of the request."""
+        exchange = self._receiving
+        self._receiving = None
+        if exchange is not None:
+            exchange.end_body()
+
+    def write(self, wire: bytes) -> None:
+        """Send bytes to the caller."""
+        self._progress_s = self._port.clock.monotonic_s()
+        self.transport.write(wire)
+
+    def hold_reading(self, *, held: bool) -> None:
+        """Stop or go on reading from the caller."""
+        if held == self._reading_held:
+            return
+        self._reading_held = held
+        self._progress_s = self._port.clock.monotonic_s()
+        if held:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
+    def exchange_ended(self, *, reusable: bool) -> None:
+        """Go on with the next request, or close."""
+        if self._exchanges:
+            self._exchanges.popleft()
+        if not reusable:
+            self._close_after_answer()
+        elif not self._closing:
+            self.hold_reading(held=False)
+            if self._exchanges:
+                self._port.handle(self._exchanges[0])
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._closing = True
+        self.transport.abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close when no request is in progress."""
+        if not self._exchanges and self._head_begun_s is None:
+            self._close()
+
+    def check_time(self, now_s: float) -> None:
+        """Give up on a caller that is silent for too long."""
+        silent_s = now_s - self._progress_s
+        settings = self._port.settings
+        if self._closing:
+            if silent_s > _LINGER_S:
+                self.abort()
+        elif self._head_begun_s is not None:
+            if now_s - self._head_begun_s > settings.caller_silence_s:
+                self._reject(RefusalReason.SLOW_CALLER)
+        elif not self._exchanges:
+            if silent_s > settings.caller_idle_s:
+                self._close()
+        elif silent_s > settings.caller_silence_s:
+            self._check_exchange()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Pass on that the caller reads slowly."""
+        self._answer_paused = True
+        if self._exchanges:
+            self._exchanges[0].pause_answer()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Pass on that the caller reads again."""
+        self._answer_paused = False
+        self._progress_s = self._port.clock.monotonic_s()
+        if self._exchanges:
+            self._exchanges[0].resume_answer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Ignore: the loss of the connection tells the same."""
+
+    def _check_exchange(self) -> None:
+        if self._answer_paused:
+            self._port.record_slow_reader()
+            self.abort()
+        elif self._receiving is not None and not self._reading_held:
+            self._receiving.fail_body(RefusalReason.SLOW_CALLER)
+
+    def _check_head_size(self, received_bytes: int) -> None:
+        self._head_bytes += received_bytes
+        if self._head_bytes > self._port.settings.max_header_bytes:
+            self._reject(RefusalReason.HEADERS_TOO_LARGE)
+
+    def _reject(self, reason: RefusalReason) -> None:
+        if self._receiving is not None:
+            self._receiving.fail_body(reason)
+            return
+        self._head_begun_s = None
+        head = RequestHead('', b'', [], keeps_alive=False)
+        exchange = Exchange(head, self, 0)
+        exchange.fail_body(reason)
+        self._exchanges.append(exchange)
+        if len(self._exchanges) == 1:
+            self._port.handle(exchange)
+
+    def _close_after_answer(self) -> None:
+        if self._receiving is None:
+            self._close()
+            return
+        self._closing = True
+        self.hold_reading(held=False)
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+
+    def _close(self) -> None:
+        self._closing = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+
+class CallerPort(Factory):
+    """All caller connections of this entry VM."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        handle: ExchangeHandler,
+        settings: CallerSettings,
+        clock: Clock,
+        record_refusal: Callable[[RefusalReason], None],
+    ) -> None:
+        self.handle = handle
+        self.settings = settings
+        self.clock = clock
+        self.is_draining = False
+        self.connections: set[CallerConnection] = set()
+        self._record_refusal = record_refusal
+
+    def buildProtocol(self, addr: IAddress) -> CallerConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def record_slow_reader(self) -> None:
+        """Count a caller that stopped reading its answer."""
+        self._record_refusal(RefusalReason.SLOW_CALLER)
+
+    def check_time(self) -> None:
+        """Give up on silent callers; to be called a few times a second."""
+        now_s = self.clock.monotonic_s()
+        for connection in tuple(self.connections):
+            connection.check_time(now_s)
+
+    def close_idle(self) -> None:
+        """Close the connections without a request in progress."""
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+
+def _codec_refusal(error: CodecError) -> RefusalReason:
+    if error is CodecError.UPGRADE:
+        return RefusalReason.UPGRADE_UNSUPPORTED
+    return RefusalReason.MALFORMED_REQUEST
+
+
+def _size(head: RequestHead) -> int:
+    fields = sum(len(name) + len(text) for name, text in head.headers)
+    return len(head.target) + fields
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -0,0 +1,313 @@
+"""One entry VM: its ports, its view, its configuration and its calls."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from random import SystemRandom
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web.server import Site
+
+from turmericpost.admin.resources import AdminState, admin_root
+from turmericpost.forward.attempt import AttemptTools
+from turmericpost.forward.forwarder import Forwarder
+from turmericpost.forward.pool import ConnectionPool
+from turmericpost.forward.well_known import AddressAnswers, AnswerSource
+from turmericpost.http1.server import CallerPort
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.metrics import Metrics
+from turmericpost.peer.service import ConfigurationExchange, PeerService
+from turmericpost.peer.stream import PeerListener
+from turmericpost.platform.follower import ConfigurationFollower
+from turmericpost.platform.http import PlatformHttp
+from turmericpost.platform.log_client import LogClient
+from turmericpost.platform.publisher import Publisher
+from turmericpost.platform.vm_list import VmListClient
+from turmericpost.reactor_clock import ReactorClock
+from turmericpost.settings.groups import Settings
+from turmericpost_core.config.fold import Configuration
+from turmericpost_core.config.service_state import domains_out
+from turmericpost_core.membership.facts import VmFact, VmIdentity, VmState
+from turmericpost_core.membership.view import (
+    MembershipSettings,
+    MembershipView,
+)
+from turmericpost_core.outcome.reasons import RefusalReason
+from turmericpost_core.routing.balancer import Balancer
+from turmericpost_core.routing.facts import Location
+from turmericpost_core.routing.table import RoutingTable
+
+_SWEEP_S = 0.25
+_DRAIN_CHECK_S = 0.02
+_MS_PER_S = 1000
+
+
+class EntryNode:
+    """Everything an entry VM runs, in one process on one loop."""
+
+    def __init__(self, reactor: Any, settings: Settings) -> None:
+        self.metrics = Metrics()
+        self.clock = ReactorClock(reactor)
+        self._reactor = reactor
+        self._settings = settings
+        self._domains_out: frozenset[str] | None = None
+        self._next_domain_change_utc: datetime | None = None
+        self._ports: list[Any] = []
+        self._loops: list[LoopingCall] = []
+        self._is_stopping = False
+        self._build_platform()
+        self._build_calls()
+
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration in force at this VM."""
+        return self.follower.configuration
+
+    def start(self) -> None:
+        """Open the ports and begin to follow the platform and the peers."""
+        self._listen_callers()
+        self._listen_admin()
+        self._start_peers()
+        for interval_s, step in (
+            (_SWEEP_S, self._sweep),
+            (self._settings.platform.vm_list_interval_s, self._read_list),
+            (self._settings.peers.heartbeat_interval_s, self.peers.beat),
+        ):
+            loop = LoopingCall(step)
+            loop.clock = self._reactor
+            loop.start(interval_s).addErrback(_log_failure)
+            self._loops.append(loop)
+        following = Deferred.fromCoroutine(self.follower.run())
+        following.addErrback(_log_failure)
+
+    async def stop(self) -> None:
+        """Leave: vanish from answers, serve on, finish what is in flight."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        log_event(LogEvent.DRAIN_STARTED)
+        self.peers.set_own(VmState.LEAVING, self.configuration.revision)
+        self._caller_port.is_draining = True
+        await deferLater(self._reactor, self._answers_valid_s())
+        await self._close_callers()
+        log_event(LogEvent.DRAIN_FINISHED)
+        await self._close_rest()
+
+    @property
+    def caller_port(self) -> int:
+        """Port that callers connect to."""
+        return int(self._ports[0].getHost().port)
+
+    @property
+    def admin_port(self) -> int:
+        """Port that operators connect to."""
+        return int(self._ports[1].getHost().port)
+
+    def _build_platform(self) -> None:
+        platform = self._settings.platform
+        self._http = PlatformHttp(
+            self._reactor,
+            platform.platform_timeout_s,
+            self.metrics,
+        )
+        log = LogClient(self._http, platform.log_service_url)
+        self._vm_list = VmListClient(self._http, platform.vm_list_url)
+        self.follower = ConfigurationFollower(
+            self._reactor,
+            log,
+            platform.configuration_stream,
+            self._install,
+        )
+        self.publisher = Publisher(
+            log,
+            platform.configuration_stream,
+            self.follower,
+            self.clock,
+        )
+
+    def _build_calls(self) -> None:
+        forward = self._settings.forward
+        self._balancer = Balancer(SystemRandom())
+        pool = ConnectionPool(
+            self._reactor,
+            forward.connect_timeout_s,
+            forward.idle_connections,
+        )
+        tools = AttemptTools(self.clock, self._balancer, pool, self.metrics)
+        answers = AddressAnswers(
+            AnswerSource(
+                table=self._table,
+                live_vms=self._live_vms,
+                own_region=self._settings.peers.region,
+                record_refusal=self._record_refusal,
+            ),
+        )
+        self.forwarder = Forwarder(
+            self._reactor,
+            forward,
+            tools,
+            answers.handle,
+        )
+        self._caller_port = CallerPort(
+            self.forwarder.begin,
+            self._settings.callers,
+            self.clock,
+            self._record_refusal,
+        )
+
+    def _listen_callers(self) -> None:
+        callers = self._settings.callers
+        port = self._reactor.listenTCP(
+            callers.caller_port,
+            self._caller_port,
+            interface=callers.caller_host,
+        )
+        self._note_port('caller', port)
+
+    def _listen_admin(self) -> None:
+        admin = self._settings.admin
+        state = AdminState(
+            clock=self.clock,
+            metrics=self.metrics,
+            configuration=lambda: self.configuration,
+            table=self._table,
+            balancer=self._balancer,
+            known_vms=lambda: self.peers.view.known(),
+            location=self._location(),
+            publisher=self.publisher,
+        )
+        site = Site(admin_root(state))
+        site.noisy = False
+        port = self._reactor.listenTCP(
+            admin.admin_port,
+            site,
+            interface=admin.admin_host,
+        )
+        self._note_port('admin', port)
+
+    def _start_peers(self) -> None:
+        peers = self._settings.peers
+        view = MembershipView(
+            VmFact(self._identity(), self._incarnation()),
+            MembershipSettings(lost_after_s=peers.lost_after_s),
+        )
+        self.peers = PeerService(
+            self._reactor,
+            self.clock,
+            view,
+            ConfigurationExchange(
+                current=lambda: self.configuration,
+                adopt=self.follower.adopt,
+            ),
+            self.metrics,
+        )
+        port = self._reactor.listenTCP(
+            peers.peer_port,
+            PeerListener(self.peers),
+            interface=peers.peer_host,
+        )
+        self._note_port('peer', port)
+
+    def _note_port(self, use: str, port: Any) -> None:
+        self._ports.append(port)
+        address = port.getHost()
+        log_event(
+            LogEvent.PORT_OPENED,
+            use=use,
+            host=address.host,
+            port=address.port,
+        )
+
+    def _identity(self) -> VmIdentity:
+        peers = self._settings.peers
+        return VmIdentity(
+            name=f'{peers.peer_host}:{peers.peer_port}',
+            caller_host=self._settings.callers.caller_host,
+            caller_port=self.caller_port,
+            failure_domain=peers.failure_domain,
+            region=peers.region,
+        )
+
+    def _incarnation(self) -> int:
+        return int(self.clock.utc_now().timestamp() * _MS_PER_S)
+
+    def _location(self) -> Location:
+        peers = self._settings.peers
+        return Location(peers.failure_domain, peers.region)
+
+    def _table(self) -> RoutingTable | None:
+        return self.forwarder.table
+
+    def _live_vms(self) -> tuple[VmFact, ...]:
+        return self.peers.view.live()
+
+    def _record_refusal(self, reason: RefusalReason) -> None:
+        self.metrics.calls_begun += 1
+        self.metrics.refusals[reason] += 1
+
+    def _install(self, configuration: Configuration) -> None:
+        document = configuration.document
+        if document is None:
+            return
+        is_first = self.forwarder.table is None
+        out = domains_out(document, self.clock.utc_now())
+        self._next_domain_change_utc = out.next_change_utc
+        if out.names != (self._domains_out or frozenset()):
+            log_event(LogEvent.DOMAINS_OUT, names=sorted(out.names))
+        self._domains_out = out.names
+        self.forwarder.install(
+            RoutingTable(document, self._location(), out.names),
+        )
+        log_event(
+            LogEvent.REVISION_IN_FORCE,
+            revision=configuration.revision,
+        )
+        state = VmState.LEAVING if self._is_stopping else VmState.LIVE
+        self.peers.set_own(state, configuration.revision)
+        if is_first:
+            log_event(LogEvent.READY)
+
+    def _sweep(self) -> None:
+        self._caller_port.check_time()
+        change_utc = self._next_domain_change_utc
+        if change_utc is not None and self.clock.utc_now() >= change_utc:
+            self._install(self.configuration)
+
+    async def _read_list(self) -> None:
+        listed = await self._vm_list.read()
+        if listed.is_ok():
+            vms = listed.unwrap()
+            self.peers.view.record_list(vms.listed, vms.leaving)
+        else:
+            detail = listed.unwrap_err().detail
+            log_event(LogEvent.LIST_UNREACHABLE, detail=detail)
+
+    def _answers_valid_s(self) -> float:
+        table = self.forwarder.table
+        return 0 if table is None else table.document.limits.answers_valid_s
+
+    async def _close_callers(self) -> None:
+        await self._ports[0].stopListening()
+        while self._caller_port.connections:
+            self._caller_port.close_idle()
+            await deferLater(self._reactor, _DRAIN_CHECK_S)
+
+    async def _close_rest(self) -> None:
+        self.follower.stop()
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        for port in self._ports[1:]:
+            await port.stopListening()
+        self.peers.close()
+        await self._http.close()
+
+
+def _log_failure(failure: Any) -> None:
+    log_event(
+        LogEvent.UNEXPECTED_FAILURE,
+        error=failure.type.__name__,
+        detail=failure.getErrorMessage(),
+    )
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Log events and metrics."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -0,0 +1,78 @@
+"""Numbered log events; the catalogue in the docs lists them all."""
+
+from __future__ import annotations
+
+import json
+import sys
+from enum import Enum
+
+from logbook import Logger, StreamHandler, lookup_level
+
+
+class Level(Enum):
+    """Level of a log event."""
+
+    DEBUG = 'DEBUG'
+    INFO = 'INFO'
+    WARNING = 'WARNING'
+    ERROR = 'ERROR'
+
+
+class LogEvent(Enum):
+    """Every event this process logs: number, level and meaning."""
+
+    PROCESS_STARTED = (1001, Level.INFO, 'the process started')
+    PORT_OPENED = (1002, Level.INFO, 'a port takes connections')
+    READY = (1003, Level.INFO, 'the VM takes calls')
+    DRAIN_STARTED = (1004, Level.INFO, 'the VM began to leave')
+    DRAIN_FINISHED = (1005, Level.INFO, 'no call is in flight any more')
+    PROCESS_STOPPED = (1006, Level.INFO, 'the process ends')
+    REVISION_IN_FORCE = (2001, Level.INFO, 'a revision is in force')
+    CHANGE_REFUSED = (2002, Level.WARNING, 'a published change was refused')
+    RECORD_MALFORMED = (2003, Level.ERROR, 'a stream record is not readable')
+    LOG_UNREACHABLE = (2004, Level.WARNING, 'the log service does not answer')
+    LOG_REACHABLE = (2005, Level.INFO, 'the log service answers again')
+    LOG_EXPIRED = (2006, Level.WARNING, 'records expired before being read')
+    LIST_UNREACHABLE = (2007, Level.WARNING, 'the VM list does not answer')
+    DOMAINS_OUT = (2008, Level.INFO, 'failure domains out of service changed')
+    REVISION_FROM_PEER = (2009, Level.INFO, 'a revision came from a peer')
+    VIEW_CHANGED = (3001, Level.INFO, 'the membership view changed')
+    PEER_MESSAGE_MALFORMED = (
+        3002,
+        Level.WARNING,
+        'a peer sent a message that is not readable',
+    )
+    CALL_REFUSED = (4001, Level.DEBUG, 'a call ended with a refusal')
+    UNEXPECTED_FAILURE = (9001, Level.ERROR, 'a defect was met')
+
+    def __init__(self, number: int, level: Level, meaning: str) -> None:
+        """Keep the parts of the event."""
+        self.number = number
+        self.level = level
+        self.meaning = meaning
+
+
+_logger = Logger('turmericpost')
+
+
+def open_log(*, debug: bool) -> None:
+    """Write events as JSON lines to standard error."""
+    level = Level.DEBUG if debug else Level.INFO
+    handler = StreamHandler(
+        sys.stderr,
+        level=lookup_level(level.value),
+        format_string='{record.message}',
+    )
+    handler.push_application()
+
+
+def log_event(event: LogEvent, **fields: object) -> None:
+    """Log one event with its fields as one JSON line."""
+    level = lookup_level(event.level.value)
+    line = {
+        'event': event.number,
+        'name': event.name.lower().replace('_', '-'),
+        'level': event.level.value.lower(),
+        **fields,
+    }
+    _logger.log(level, '{}', json.dumps(line, default=str))
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
@@ -0,0 +1,50 @@
+"""Counters and latency histograms of one entry process."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from turmericpost_core.outcome.reasons import RefusalReason, RetryReason
+
+_LOWEST_US = 1
+_HIGHEST_US = 60_000_000
+_DIGITS = 2
+_US_PER_S = 1_000_000
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty latency histogram in microseconds."""
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+
+class Metrics:
+    """Counts since the start of the process; latencies in microseconds."""
+
+    def __init__(self) -> None:
+        self.refusals = Counter({reason: 0 for reason in RefusalReason})
+        self.retries = Counter({reason: 0 for reason in RetryReason})
+        self.calls_begun = 0
+        self.calls_answered = 0
+        self.peer_bytes_sent = 0
+        self.peer_bytes_received = 0
+        self.platform_bytes = 0
+        self.probes_sent = 0
+        self.call_latency_us = new_histogram()
+        self.backend_latency_us = new_histogram()
+
+    def record_call(self, latency_s: float) -> None:
+        """Count a call that got its whole answer."""
+        self.calls_answered += 1
+        self.call_latency_us.record_value(int(latency_s * _US_PER_S))
+
+    def record_attempt(self, latency_s: float) -> None:
+        """Count an attempt that a backend server answered."""
+        self.backend_latency_us.record_value(int(latency_s * _US_PER_S))
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Calls begun and not yet ended."""
+        ended = self.calls_answered + self.refusals.total()
+        return self.calls_begun - ended
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/observe/settings.py
@@ -0,0 +1,14 @@
+"""Settings of the log output."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from turmericpost.settings.declare import setting
+
+
+@dataclass(frozen=True)
+class LogSettings:
+    """What is logged."""
+
+    log_debug: bool = setting('log debugging events too', default=False)
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entry VMs."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/peer/messages.py
@@ -0,0 +1,137 @@
+"""Messages between entry VMs and their msgpack form."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+import msgpack
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from turmericpost_core.config.fold import Configuration
+from turmericpost_core.membership.facts import VmFact, VmIdentity, VmState
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+_HEARTBEAT = 1
+_CONFIGURATION_REQUEST = 2
+_CONFIGURATION_REPLY = 3
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """Facts that a VM passes on; the first one is about itself."""
+
+    facts: tuple[VmFact, ...]
+
+
+@dataclass(frozen=True)
+class ConfigurationRequest:
+    """Asks for the configuration in force if it is newer."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class ConfigurationReply:
+    """The configuration in force."""
+
+    configuration: Configuration
+
+
+PeerMessage: TypeAlias = Heartbeat | ConfigurationRequest | ConfigurationReply
+
+
+@dataclass(frozen=True)
+class MalformedMessageError:
+    """A message of a peer that can't be decoded."""
+
+    detail: str
+
+
+_CONFIGURATION = TypeAdapter(Configuration)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the bytes of a message."""
+    if isinstance(message, Heartbeat):
+        facts = [_packed_fact(fact) for fact in message.facts]
+        return _pack([_HEARTBEAT, facts])
+    if isinstance(message, ConfigurationRequest):
+        return _pack([_CONFIGURATION_REQUEST, message.revision])
+    dumped = _CONFIGURATION.dump_json(message.configuration)
+    return _pack([_CONFIGURATION_REPLY, dumped])
+
+
+def new_unpacker() -> Any:
+    """Return a streaming decoder with bounded memory."""
+    return msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+
+
+def decode_message(
+    unpacked: object,
+) -> Result[PeerMessage, MalformedMessageError]:
+    """Build a typed message from decoded msgpack."""
+    try:
+        return Ok(_message(unpacked))
+    except (ValidationError, ValueError, TypeError) as error:
+        return Err(MalformedMessageError(str(error)))
+
+
+def _message(unpacked: Any) -> PeerMessage:
+    kind, payload = unpacked
+    if kind == _HEARTBEAT:
+        facts = tuple(_unpacked_fact(fact) for fact in payload)
+        if not facts:
+            raise ValueError(kind)
+        return Heartbeat(facts)
+    if kind == _CONFIGURATION_REQUEST:
+        return ConfigurationRequest(_checked(payload, int))
+    if kind == _CONFIGURATION_REPLY:
+        return ConfigurationReply(_CONFIGURATION.validate_json(payload))
+    raise ValueError(kind)
+
+
+def _packed_fact(fact: VmFact) -> list[str | int]:
+    identity = fact.identity
+    return [
+        identity.name,
+        identity.caller_host,
+        identity.caller_port,
+        identity.failure_domain,
+        identity.region,
+        fact.incarnation,
+        fact.refutation,
+        fact.state.value,
+        fact.revision,
+    ]
+
+
+def _unpacked_fact(packed: Any) -> VmFact:
+    name, host, port, domain, region, *standing = packed
+    incarnation, refutation, state, revision = standing
+    return VmFact(
+        identity=VmIdentity(
+            name=_checked(name, str),
+            caller_host=_checked(host, str),
+            caller_port=_checked(port, int),
+            failure_domain=_checked(domain, str),
+            region=_checked(region, str),
+        ),
+        incarnation=_checked(incarnation, int),
+        refutation=_checked(refutation, int),
+        state=VmState(_checked(state, int)),
+        revision=_checked(revision, int),
+    )
+
+
+def _checked(part: Any, wanted: type[Any]) -> Any:
+    if type(part) is not wanted:
+        raise TypeError(f'{type(part).__name__} is not {wanted.__name__}')
+    return part
+
+
+def _pack(unpacked: list[Any]) -> bytes:
+    packed: bytes = msgpack.packb(unpacked)
+    return packed
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/peer/service.py
@@ -0,0 +1,178 @@
+"""Membership of this VM: heartbeats over streams to a few neighbours."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.metrics import Metrics
+from turmericpost.peer.messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Heartbeat,
+    PeerMessage,
+)
+from turmericpost.peer.stream import PeerDialler, PeerStream
+from turmericpost_core.clock import Clock
+from turmericpost_core.config.fold import Configuration
+from turmericpost_core.membership.facts import VmState
+from turmericpost_core.membership.view import MembershipView
+
+
+@dataclass(frozen=True)
+class ConfigurationExchange:
+    """How peers pass configurations on."""
+
+    current: Callable[[], Configuration]
+    adopt: Callable[[Configuration], None]
+
+
+class PeerService:
+    """Keeps the membership view of this VM up to date."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        view: MembershipView,
+        configurations: ConfigurationExchange,
+        metrics: Metrics,
+    ) -> None:
+        self.view = view
+        self._reactor = reactor
+        self._clock = clock
+        self._configurations = configurations
+        self._metrics = metrics
+        self._streams: set[PeerStream] = set()
+        self._dialling: set[str] = set()
+        self._retried = 0
+
+    def beat(self) -> None:
+        """Note silence, dial neighbours and send heartbeats."""
+        now_s = self._clock.monotonic_s()
+        neighbours = self.view.neighbours()
+        self.view.watch(neighbours, now_s)
+        if self.view.record_silence(now_s):
+            self._log_view()
+            neighbours = self.view.neighbours()
+        for name in (*neighbours, *self._one_absent()):
+            self._dial(name)
+        self._close_unneeded(frozenset(neighbours))
+        self.send_heartbeats()
+
+    def send_heartbeats(self) -> None:
+        """Send one heartbeat to every VM a stream leads to."""
+        heartbeat = Heartbeat(self.view.next_facts())
+        told: set[str | None] = set()
+        for stream in tuple(self._streams):
+            name = stream.remote_name
+            if name is None or name not in told:
+                told.add(name)
+                stream.send(heartbeat)
+        self.view.heartbeat_sent()
+
+    def set_own(self, state: VmState, revision: int) -> None:
+        """Change what this VM says of itself and tell it at once."""
+        self.view.set_own(state, revision)
+        self.send_heartbeats()
+
+    def close(self) -> None:
+        """Close every stream."""
+        for stream in tuple(self._streams):
+            stream.close()
+
+    def stream_opened(self, stream: PeerStream) -> None:
+        """Greet with everything known."""
+        self._streams.add(stream)
+        if stream.dialled is not None:
+            self._dialling.discard(stream.dialled)
+        stream.send(Heartbeat(self.view.all_facts()))
+
+    def stream_closed(self, stream: PeerStream) -> None:
+        """Forget the stream."""
+        self._streams.discard(stream)
+
+    def dial_ended(self, name: str) -> None:
+        """Allow another try."""
+        self._dialling.discard(name)
+
+    def message_received(
+        self,
+        stream: PeerStream,
+        message: PeerMessage,
+    ) -> None:
+        """Act on a message of a peer."""
+        if isinstance(message, Heartbeat):
+            self._heartbeat_received(stream, message)
+        elif isinstance(message, ConfigurationRequest):
+            current = self._configurations.current()
+            if current.revision > message.revision:
+                stream.send(ConfigurationReply(current))
+        else:
+            self._configurations.adopt(message.configuration)
+
+    def bytes_sent(self, count: int) -> None:
+        """Count control bytes sent."""
+        self._metrics.peer_bytes_sent += count
+
+    def bytes_received(self, count: int) -> None:
+        """Count control bytes received."""
+        self._metrics.peer_bytes_received += count
+
+    def _heartbeat_received(
+        self,
+        stream: PeerStream,
+        heartbeat: Heartbeat,
+    ) -> None:
+        sender = heartbeat.facts[0]
+        changed = self.view.record_heartbeat(
+            sender.identity.name,
+            heartbeat.facts,
+            self._clock.monotonic_s(),
+        )
+        current = self._configurations.current()
+        if sender.revision > current.revision:
+            stream.send(ConfigurationRequest(current.revision))
+        if changed:
+            self._log_view()
+            self.send_heartbeats()
+
+    def _dial(self, name: str) -> None:
+        if name in self._dialling or self._has_stream(name):
+            return
+        host, _, port = name.rpartition(':')
+        self._dialling.add(name)
+        self._reactor.connectTCP(host, int(port), PeerDialler(self, name))
+
+    def _has_stream(self, name: str) -> bool:
+        return any(stream.remote_name == name for stream in self._streams)
+
+    def _one_absent(self) -> tuple[str, ...]:
+        absent = self.view.listed_but_absent()
+        if not absent:
+            return ()
+        self._retried += 1
+        return (absent[self._retried % len(absent)],)
+
+    def _close_unneeded(self, neighbours: frozenset[str]) -> None:
+        kept: set[str] = set()
+        for stream in sorted(self._streams, key=_dialled_name):
+            name = stream.remote_name
+            if stream.dialled is None or name is None:
+                continue
+            if name in kept or name not in neighbours:
+                stream.close()
+            kept.add(name)
+
+    def _log_view(self) -> None:
+        live = self.view.live()
+        log_event(
+            LogEvent.VIEW_CHANGED,
+            live=[fact.identity.name for fact in live],
+        )
+
+
+def _dialled_name(stream: PeerStream) -> str:
+    return stream.dialled or ''
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/peer/stream.py
@@ -0,0 +1,154 @@
+"""One stream between two entry VMs."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol as Interface
+
+from twisted.internet.interfaces import IAddress, IConnector
+from twisted.internet.protocol import (
+    ClientFactory,
+    Factory,
+    Protocol,
+    connectionDone,
+)
+from twisted.python.failure import Failure
+
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.peer.messages import (
+    Heartbeat,
+    PeerMessage,
+    decode_message,
+    encode_message,
+    new_unpacker,
+)
+from turmericpost_core.membership.facts import VmIdentity
+
+
+class StreamHost(Interface):
+    """Takes what comes over the streams of this VM."""
+
+    def stream_opened(self, stream: PeerStream) -> None:
+        """Take a new stream."""
+
+    def stream_closed(self, stream: PeerStream) -> None:
+        """Learn that a stream has ended."""
+
+    def message_received(
+        self,
+        stream: PeerStream,
+        message: PeerMessage,
+    ) -> None:
+        """Take a message."""
+
+    def bytes_sent(self, count: int) -> None:
+        """Count control bytes sent."""
+
+    def bytes_received(self, count: int) -> None:
+        """Count control bytes received."""
+
+    def dial_ended(self, name: str) -> None:
+        """Learn that dialling a VM failed."""
+
+
+class PeerStream(Protocol):
+    """Typed messages in both directions."""
+
+    def __init__(self, host: StreamHost, dialled: str | None) -> None:
+        self.dialled = dialled
+        self.remote: VmIdentity | None = None
+        self._host = host
+        self._unpacker: Any = new_unpacker()
+
+    @property
+    def remote_name(self) -> str | None:
+        """Name of the VM at the other end, once known."""
+        return self.dialled if self.remote is None else self.remote.name
+
+    def send(self, message: PeerMessage) -> None:
+        """Send a message."""
+        wire = encode_message(message)
+        self._host.bytes_sent(len(wire))
+        self.transport.write(wire)
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.transport.loseConnection()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set up the transport."""
+        self.transport.setTcpNoDelay(True)
+        self._host.stream_opened(self)
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: Failure = connectionDone,
+    ) -> None:
+        """Tell the host."""
+        self._host.stream_closed(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+        """Decode messages; a malformed one ends the stream."""
+        self._host.bytes_received(len(data))
+        try:
+            self._unpack(data)
+        except Exception as error:
+            self._reject(type(error).__name__)
+
+    def _unpack(self, received: bytes) -> None:
+        self._unpacker.feed(received)
+        for unpacked in self._unpacker:
+            decoded = decode_message(unpacked)
+            if decoded.is_err():
+                self._reject(decoded.unwrap_err().detail)
+                return
+            self._take(decoded.unwrap())
+
+    def _take(self, message: PeerMessage) -> None:
+        if isinstance(message, Heartbeat):
+            self.remote = message.facts[0].identity
+        if self.remote is not None:
+            self._host.message_received(self, message)
+
+    def _reject(self, detail: str) -> None:
+        log_event(
+            LogEvent.PEER_MESSAGE_MALFORMED,
+            peer=str(self.transport.getPeer()),
+            detail=detail,
+        )
+        self.transport.abortConnection()
+
+
+class PeerListener(Factory):
+    """Accepts streams from other VMs."""
+
+    noisy = False
+
+    def __init__(self, host: StreamHost) -> None:
+        self._host = host
+
+    def buildProtocol(self, addr: IAddress) -> PeerStream:  # noqa: N802
+        """Return the protocol of an accepted stream."""
+        return PeerStream(self._host, None)
+
+
+class PeerDialler(ClientFactory):
+    """Opens a stream to another VM."""
+
+    noisy = False
+
+    def __init__(self, host: StreamHost, name: str) -> None:
+        self._host = host
+        self._name = name
+
+    def buildProtocol(self, addr: IAddress) -> PeerStream:  # noqa: N802
+        """Return the protocol of the opened stream."""
+        return PeerStream(self._host, self._name)
+
+    def clientConnectionFailed(  # noqa: N802
+        self,
+        connector: IConnector,
+        reason: Failure,
+    ) -> None:
+        """Tell the host."""
+        self._host.dial_ended(self._name)
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/follower.py
@@ -0,0 +1,143 @@
+"""Follows the configuration stream and keeps the fold of it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeAlias
+
+from twisted.internet.task import deferLater
+
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.platform.log_client import (
+    LogBatch,
+    LogClient,
+    LogError,
+    LogErrorKind,
+    LogRecord,
+)
+from turmericpost_core.config.fold import (
+    ChangeVerdict,
+    Configuration,
+    fold_record,
+    newer_of,
+)
+from turmericpost_core.config.records import decode_record
+
+_POLL_S = 5
+_RETRY_S = 0.5
+
+ConfigurationListener: TypeAlias = Callable[[Configuration], None]
+Sleep: TypeAlias = Callable[[float], Awaitable[Any]]
+
+
+class ConfigurationFollower:
+    """The configuration in force, from the log and from peers."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        log: LogClient,
+        stream: str,
+        on_change: ConfigurationListener,
+    ) -> None:
+        self.configuration = Configuration()
+        self.has_caught_up = False
+        self._reactor = reactor
+        self._log = log
+        self._stream = stream
+        self._on_change = on_change
+        self._next_offset = 0
+        self._is_reachable = True
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """End ``run`` at its next step."""
+        self._is_stopped = True
+
+    async def run(self) -> None:
+        """Follow the stream until stopped."""
+        while not self._is_stopped:
+            await self.read_once(_POLL_S)
+            if not self._is_reachable:
+                await deferLater(self._reactor, _RETRY_S)
+
+    async def read_once(self, wait_s: float) -> bool:
+        """Read and fold what is there; return whether the log answered."""
+        wait_s = wait_s if self.has_caught_up else 0
+        batch = await self._log.read(self._stream, self._next_offset, wait_s)
+        if batch.is_ok():
+            self._record_reachable()
+            self._take(batch.unwrap())
+            return True
+        self._record_error(batch.unwrap_err())
+        return False
+
+    def adopt(self, offered: Configuration) -> None:
+        """Take a newer configuration from a peer."""
+        newer = newer_of(self.configuration, offered)
+        if newer is self.configuration:
+            return
+        log_event(LogEvent.REVISION_FROM_PEER, revision=newer.revision)
+        self.configuration = newer
+        self._on_change(newer)
+
+    def _take(self, batch: LogBatch) -> None:
+        if batch.end_offset < self._next_offset:
+            self._next_offset = 0
+            return
+        for record in batch.records:
+            self._fold(record)
+            self._next_offset = record.offset + 1
+        if self._next_offset >= batch.end_offset:
+            self._note_caught_up()
+
+    def _note_caught_up(self) -> None:
+        """Put nothing in force before the end: older revisions are past."""
+        if not self.has_caught_up:
+            self.has_caught_up = True
+            self._on_change(self.configuration)
+
+    def _fold(self, record: LogRecord) -> None:
+        decoded = decode_record(record.record)
+        if decoded.is_err():
+            log_event(
+                LogEvent.RECORD_MALFORMED,
+                offset=record.offset,
+                detail=decoded.unwrap_err().detail,
+            )
+            return
+        before = self.configuration
+        folded = fold_record(before, decoded.unwrap())
+        self._log_refusal(before, folded)
+        self.configuration = folded
+        if self.has_caught_up and folded.revision > before.revision:
+            self._on_change(folded)
+
+    def _log_refusal(self, before: Configuration, after: Configuration) -> None:
+        if before.history == after.history or not after.history:
+            return
+        change = after.history[-1]
+        if change.verdict is not ChangeVerdict.ACCEPTED:
+            log_event(
+                LogEvent.CHANGE_REFUSED,
+                change_id=change.change_id,
+                verdict=change.verdict.value,
+            )
+
+    def _record_reachable(self) -> None:
+        if not self._is_reachable:
+            log_event(LogEvent.LOG_REACHABLE)
+        self._is_reachable = True
+
+    def _record_error(self, error: LogError) -> None:
+        if error.kind is LogErrorKind.EXPIRED:
+            log_event(
+                LogEvent.LOG_EXPIRED,
+                wanted=self._next_offset,
+                earliest=error.earliest_offset,
+            )
+            self._next_offset = error.earliest_offset
+            return
+        if self._is_reachable:
+            log_event(LogEvent.LOG_UNREACHABLE, detail=error.detail)
+        self._is_reachable = False
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/publisher.py
@@ -0,0 +1,117 @@
+"""Publishes changes of the configuration to the log service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from uuid import uuid4
+
+from result import Err, Ok, Result
+
+from turmericpost.platform.follower import ConfigurationFollower
+from turmericpost.platform.log_client import (
+    LogClient,
+    LogError,
+    LogErrorKind,
+)
+from turmericpost_core.clock import Clock
+from turmericpost_core.config.decode import document_to_mapping
+from turmericpost_core.config.document import Document
+from turmericpost_core.config.fold import FoldedChange, find_change
+from turmericpost_core.config.records import (
+    ConfigurationRecord,
+    RecordKind,
+    encode_record,
+)
+
+_READS = 10
+
+
+class PublishErrorKind(Enum):
+    """Why it is not known that a change was judged."""
+
+    NOT_ACCEPTED = 'not-accepted'
+    UNSETTLED = 'unsettled'
+
+
+@dataclass(frozen=True)
+class PublishError:
+    """The log service did not take the change, or did not say so.
+
+    After ``UNSETTLED`` the history shows the change once the log service
+    answers again, if the change took effect.
+    """
+
+    kind: PublishErrorKind
+    change_id: str
+    detail: str
+
+
+class Publisher:
+    """Appends a change once and reads back how everyone judges it."""
+
+    def __init__(
+        self,
+        log: LogClient,
+        stream: str,
+        follower: ConfigurationFollower,
+        clock: Clock,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._follower = follower
+        self._clock = clock
+
+    async def publish(
+        self,
+        document: Document,
+        base_revision: int,
+        author: str,
+    ) -> Result[FoldedChange, PublishError]:
+        """Publish a document based on a revision."""
+        change_id = uuid4().hex
+        record = ConfigurationRecord(
+            kind=RecordKind.CHANGE,
+            base_revision=base_revision,
+            change_id=change_id,
+            author=author,
+            published_at_utc=self._clock.utc_now(),
+            document=document_to_mapping(document),
+        )
+        appended = await self._log.append(self._stream, encode_record(record))
+        if _had_no_effect(appended):
+            detail = appended.unwrap_err().detail
+            kind = PublishErrorKind.NOT_ACCEPTED
+            return Err(PublishError(kind, change_id, detail))
+        return await self._settle(change_id, is_appended=appended.is_ok())
+
+    async def _settle(
+        self,
+        change_id: str,
+        *,
+        is_appended: bool,
+    ) -> Result[FoldedChange, PublishError]:
+        """Reread the stream: a lost answer is never settled by appending."""
+        for _ in range(_READS):
+            answered = await self._follower.read_once(0)
+            change = find_change(self._follower.configuration, change_id)
+            if change is not None:
+                return Ok(change)
+            if answered and not is_appended:
+                return Err(_absent(change_id))
+        kind = PublishErrorKind.UNSETTLED
+        return Err(PublishError(kind, change_id, 'log service not readable'))
+
+
+def _absent(change_id: str) -> PublishError:
+    return PublishError(
+        PublishErrorKind.UNSETTLED,
+        change_id,
+        'the log service lost its answer and does not show the change',
+    )
+
+
+def _had_no_effect(appended: Result[int, LogError]) -> bool:
+    if appended.is_ok():
+        return False
+    return appended.unwrap_err().kind is not LogErrorKind.ANSWER_LOST
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/settings.py
@@ -0,0 +1,29 @@
+"""Settings of the platform's log service and VM list."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from turmericpost.settings.declare import Bounds, setting
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """Where the platform's services are."""
+
+    log_service_url: str = setting('URL of the log service')
+    vm_list_url: str = setting('URL of the VM list service')
+    configuration_stream: str = setting(
+        'stream of the configuration',
+        default='turmericpost-configuration',
+    )
+    vm_list_interval_s: float = setting(
+        'time between readings of the VM list',
+        default=1,
+        bounds=Bounds(0.1, 3600),
+    )
+    platform_timeout_s: float = setting(
+        'longest time to wait for an answer of the platform',
+        default=3,
+        bounds=Bounds(0.1, 60),
+    )
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/run.py
@@ -0,0 +1,33 @@
+"""Entry point of the ``turmericpost`` binary."""
+
+from __future__ import annotations
+
+import sys
+
+from turmericpost.commands.command_line import run_command
+from turmericpost.commands.demo import demo
+from turmericpost.commands.serve import serve
+from turmericpost.commands.settings_command import check_settings
+from turmericpost.settings.flags import command_with_flags
+from turmericpost.settings.groups import all_settings
+
+
+def run() -> None:
+    """Run the command that the arguments name."""
+    declared = all_settings()
+    functions = {
+        'serve': command_with_flags(
+            'serve',
+            'Run an entry VM process.',
+            declared,
+            serve,
+        ),
+        'check-settings': command_with_flags(
+            'check_settings',
+            'Print the resolved settings.',
+            declared,
+            check_settings,
+        ),
+        'demo': demo,
+    }
+    sys.exit(run_command('turmericpost', functions, sys.argv[1:]))
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: declared beside their users, resolved from flags and env."""
--- /dev/null
+++ b/packages/turmericpost-standins/src/turmericpost_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and back ends, and the load tool."""
--- /dev/null
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform.py
@@ -0,0 +1,98 @@
+"""All stand-ins of one deployment on loopback, in one process."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from typing import Any
+from uuid import uuid4
+
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from turmericpost_core.config.records import (
+    ConfigurationRecord,
+    RecordKind,
+    encode_record,
+)
+from turmericpost_standins.backend import BackendSize, BackendStandIn
+from turmericpost_standins.deployments import Deployment
+from turmericpost_standins.log_service import LogService
+from turmericpost_standins.vm_list import ListedVm, VmList
+
+CONFIGURATION_STREAM = 'turmericpost-configuration'
+
+_LOOPBACK = '127.0.0.1'
+
+
+class StandInPlatform:
+    """Log service, VM list and the back ends of a deployment."""
+
+    def __init__(self, reactor: Any, deployment: Deployment) -> None:
+        self.log = LogService(reactor)
+        self.vm_list = VmList(reactor)
+        self.backends: dict[str, list[BackendStandIn]] = {}
+        self.backend_ports: dict[str, list[int]] = {}
+        self.peer_port = 0
+        self.log_url = ''
+        self.vm_list_url = ''
+        self._reactor = reactor
+        self._deployment = deployment
+        self._ports: list[Any] = []
+
+    def start(self) -> None:
+        """Open every port; the numbers are free ones."""
+        self.log_url = self._url(self._listen(self.log))
+        self.vm_list_url = self._url(self._listen(self.vm_list))
+        for service in self._deployment.services:
+            self.backends[service.name] = []
+            self.backend_ports[service.name] = []
+            for index in range(service.targets):
+                size = BackendSize(
+                    name=f'{service.name}-{index}',
+                    slots=service.slots,
+                    mean_service_ms=service.mean_service_ms,
+                )
+                backend = BackendStandIn(self._reactor, size, seed=index)
+                self.backends[service.name].append(backend)
+                port = self._listen(backend)
+                self.backend_ports[service.name].append(port)
+        self.peer_port = free_port()
+        domain = self._deployment.failure_domains[0].name
+        address = f'{_LOOPBACK}:{self.peer_port}'
+        self.vm_list.set_vms((ListedVm(address, domain),))
+
+    def publish(self, document: Mapping[str, Any]) -> None:
+        """Append the first document to the configuration stream."""
+        record = ConfigurationRecord(
+            kind=RecordKind.CHANGE,
+            base_revision=0,
+            change_id=uuid4().hex,
+            author='stand-in',
+            published_at_utc=datetime.now(UTC),
+            document=dict(document),
+        )
+        self.log.append(CONFIGURATION_STREAM, encode_record(record))
+
+    async def stop(self) -> None:
+        """Close every port."""
+        for port in self._ports:
+            await port.stopListening()
+
+    def _listen(self, resource: Resource) -> int:
+        site = Site(resource)
+        site.noisy = False
+        port = self._reactor.listenTCP(0, site, interface=_LOOPBACK)
+        self._ports.append(port)
+        return int(port.getHost().port)
+
+    def _url(self, port: int) -> str:
+        return f'http://{_LOOPBACK}:{port}'
+
+
+def free_port() -> int:
+    """Return the number of a loopback port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((_LOOPBACK, 0))
+        return int(probe.getsockname()[1])
