--- /dev/null
+++ b/packages/turmericpost-command/src/turmericpost_command/__init__.py
@@ -0,0 +1,1 @@
+"""Command line and checked settings of the turmericpost binaries."""
--- a/packages/turmericpost-entry/src/turmericpost/settings/declare.py
+++ b/packages/turmericpost-command/src/turmericpost_command/settings/declare.py
@@ -15,6 +15,10 @@
     low: float
     high: float
 
+    def __str__(self) -> str:
+        """Return the bounds in words."""
+        return f'from {self.low} to {self.high}'
+
 
 @dataclass(frozen=True)
 class DeclaredSetting:
@@ -30,12 +34,14 @@
     @property
     def flag(self) -> str:
         """Command line flag of the setting."""
-        return f'--{self.name.replace("_", "-")}'
+        words = self.name.replace('_', '-')
+        return f'--{words}'
 
     @property
-    def variable(self) -> str:
+    def environment_variable(self) -> str:
         """Environment variable of the setting."""
-        return f'TURMERICPOST_{self.name.upper()}'
+        words = self.name.upper()
+        return f'TURMERICPOST_{words}'
 
 
 def setting(
--- a/packages/turmericpost-entry/src/turmericpost/settings/errors.py
+++ b/packages/turmericpost-command/src/turmericpost_command/settings/errors.py
@@ -27,4 +27,5 @@
 
     def __str__(self) -> str:
         """Return the error as one line."""
-        return f'{self.place}: {self.kind.value}: {self.detail}'
+        kind = self.kind.value
+        return f'{self.place}: {kind}: {self.detail}'
--- a/packages/turmericpost-entry/src/turmericpost/settings/flags.py
+++ b/packages/turmericpost-command/src/turmericpost_command/settings/flags.py
@@ -6,7 +6,7 @@
 from inspect import Parameter, Signature
 from typing import Any
 
-from turmericpost.settings.declare import DeclaredSetting
+from turmericpost_command.settings.declare import DeclaredSetting
 
 FlagTexts = Mapping[str, str | None]
 
@@ -40,7 +40,7 @@
     default = 'required' if declared.is_required else declared.default
     return (
         f':param {declared.name}: {declared.help_text} '
-        f'({declared.type_name}, {default}; {declared.variable})\n'
+        f'({declared.type_name}, {default}; {declared.environment_variable})\n'
     )
 
 
--- a/packages/turmericpost-entry/src/turmericpost/settings/resolve.py
+++ b/packages/turmericpost-command/src/turmericpost_command/settings/resolve.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any
 
 from result import Err, Ok, Result
 
-from turmericpost.settings.declare import DeclaredSetting
-from turmericpost.settings.errors import SettingError, SettingErrorKind
+from turmericpost_command.settings.declare import DeclaredSetting
+from turmericpost_command.settings.errors import SettingError, SettingErrorKind
 
 PREFIX = 'TURMERICPOST_'
 
@@ -47,7 +48,7 @@
     declared: tuple[DeclaredSetting, ...],
     environment: Mapping[str, str],
 ) -> Iterator[SettingError]:
-    variables = {one.variable for one in declared}
+    variables = {one.environment_variable for one in declared}
     for name in sorted(environment):
         if name.startswith(PREFIX) and name not in variables:
             yield SettingError(
@@ -66,7 +67,7 @@
     if raw is not None:
         return _parse(declared, raw)
     if declared.is_required:
-        detail = f'give {declared.flag} or {declared.variable}'
+        detail = f'give {declared.flag} or {declared.environment_variable}'
         missing = SettingError(SettingErrorKind.MISSING, declared.flag, detail)
         return Err(missing)
     return Ok(declared.default)
@@ -80,9 +81,9 @@
     flag_text = flags.get(declared.name)
     if flag_text is not None:
         return RawSetting(declared.flag, flag_text)
-    variable_text = environment.get(declared.variable)
+    variable_text = environment.get(declared.environment_variable)
     if variable_text is not None:
-        return RawSetting(declared.variable, variable_text)
+        return RawSetting(declared.environment_variable, variable_text)
     return None
 
 
@@ -99,7 +100,7 @@
     bounds = declared.bounds
     if bounds is None or bounds.low <= parsed <= bounds.high:
         return Ok(parsed)
-    detail = f'{raw.text} is not from {bounds.low:g} to {bounds.high:g}'
+    detail = f'{raw.text} is not {bounds}'
     kind = SettingErrorKind.OUT_OF_BOUNDS
     return Err(SettingError(kind, raw.place, detail))
 
@@ -119,9 +120,11 @@
     raise ValueError(text)
 
 
-_PARSERS: Mapping[str, Callable[[str], Any]] = {
-    'bool': _parse_bool,
-    'float': float,
-    'int': int,
-    'str': _parse_name,
-}
+_PARSERS: Mapping[str, Callable[[str], Any]] = MappingProxyType(
+    {
+        'bool': _parse_bool,
+        'float': float,
+        'int': int,
+        'str': _parse_name,
+    }
+)
--- a/packages/turmericpost-core/src/turmericpost_core/config/document.py
+++ b/packages/turmericpost-core/src/turmericpost_core/config/document.py
@@ -11,6 +11,7 @@
 
 _STRICT = ConfigDict(extra='forbid')
 _MAX_SLOTS = 10_000
+_HIGHEST_PORT = 65535
 _MAX_NAME_LENGTH = 63
 
 Name: TypeAlias = Annotated[
@@ -75,7 +76,7 @@
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
 
     host: str
-    port: Annotated[int, Field(ge=1, le=65535)]
+    port: Annotated[int, Field(ge=1, le=_HIGHEST_PORT)]
     service: Name
     failure_domain: Name
     labels: Labels = field(default_factory=dict)
--- a/packages/turmericpost-core/src/turmericpost_core/config/errors.py
+++ b/packages/turmericpost-core/src/turmericpost_core/config/errors.py
@@ -30,4 +30,5 @@
     def __str__(self) -> str:
         """Return the error as one line."""
         place = self.place or 'document'
-        return f'{place}: {self.detail} ({self.kind.value})'
+        kind = self.kind.value
+        return f'{place}: {self.detail} ({kind})'
--- a/packages/turmericpost-core/src/turmericpost_core/limits/waiting.py
+++ b/packages/turmericpost-core/src/turmericpost_core/limits/waiting.py
@@ -13,7 +13,7 @@
     """Waiting calls of one service; accounts take turns."""
 
     def __init__(self, max_calls: int) -> None:
-        self._max_calls = max_calls
+        self.max_calls = max_calls
         self._count = 0
         self._by_account: OrderedDict[str, deque[_Call]] = OrderedDict()
 
@@ -24,7 +24,7 @@
     @property
     def is_full(self) -> bool:
         """Whether one more call must be refused."""
-        return self._count >= self._max_calls
+        return self._count >= self.max_calls
 
     def add(self, account: str, call: _Call) -> None:
         """Put a call behind the others of its account."""
@@ -44,6 +44,12 @@
         for account, calls in self._by_account.items():
             yield account, calls[0]
 
+    def calls(self) -> tuple[_Call, ...]:
+        """Return every waiting call."""
+        return tuple(
+            call for calls in self._by_account.values() for call in calls
+        )
+
     def take(self, account: str) -> _Call:
         """Take the first call of an account, whose turn then comes last."""
         calls = self._by_account[account]
--- a/packages/turmericpost-core/src/turmericpost_core/membership/view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/view.py
@@ -101,7 +101,7 @@
         room = self._settings.facts_per_heartbeat
         for name in tuple(self._repeats)[:room]:
             self._repeats[name] -= 1
-            if not self._repeats[name]:
+            if self._repeats[name] <= 0:
                 self._repeats.pop(name)
         self._next_refresh += 1
 
@@ -122,11 +122,10 @@
         now_s: float,
     ) -> bool:
         """Take in a heartbeat; return whether the view changed."""
-        if sender in self._heard_at_s:
+        if sender in self._heard_at_s.keys():
             self._heard_at_s[sender] = now_s
         changes = [self._learn(fact, now_s) for fact in facts]
-        known = self._facts.get(sender)
-        if known is not None and known.state is VmState.LOST:
+        if self._is_lost(sender):
             self._repeats[sender] = _MIN_REPEATS
         return any(changes)
 
@@ -153,13 +152,17 @@
         self._forget(now_s)
         return changed
 
-    def set_own(self, state: VmState, revision: int) -> None:
+    def state_own(self, state: VmState, revision: int) -> None:
         """Change what this VM says of itself."""
         self.own = replace(self.own, state=state, revision=revision)
 
     def _is_absent(self, name: str) -> bool:
-        fact = self._facts.get(name)
-        return fact is None or fact.state is VmState.LOST
+        return name not in self._facts or self._is_lost(name)
+
+    def _is_lost(self, name: str) -> bool:
+        if name not in self._facts:
+            return False
+        return self._facts[name].state is VmState.LOST
 
     def _learn(self, fact: VmFact, now_s: float) -> bool:
         name = fact.identity.name
--- a/packages/turmericpost-core/src/turmericpost_core/outcome/ledger.py
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/ledger.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
+from types import MappingProxyType
 
 from result import Err, Ok, Result
 
@@ -60,25 +61,29 @@
 
 _NEVER_RAN = frozenset((AttemptEnd.SHED, AttemptEnd.CONNECT_FAILED))
 
-_REFUSALS = {
-    AttemptEnd.SHED: RefusalReason.SHED_BY_BACKEND,
-    AttemptEnd.SERVER_ERROR: RefusalReason.SERVER_ERROR,
-    AttemptEnd.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
-    AttemptEnd.CONNECTION_LOST: RefusalReason.CONNECTION_LOST,
-    AttemptEnd.TRUNCATED: RefusalReason.TRUNCATED_ANSWER,
-    AttemptEnd.MALFORMED: RefusalReason.MALFORMED_ANSWER,
-    AttemptEnd.UNFRAMED: RefusalReason.UNFRAMED_ANSWER,
-    AttemptEnd.DEADLINE: RefusalReason.DEADLINE_EXCEEDED,
-    AttemptEnd.CALLER_GONE: RefusalReason.CALLER_GONE,
-}
-
-_RETRIES = {
-    AttemptEnd.SHED: RetryReason.SHED_BY_BACKEND,
-    AttemptEnd.SERVER_ERROR: RetryReason.SERVER_ERROR,
-    AttemptEnd.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
-    AttemptEnd.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
-    AttemptEnd.TRUNCATED: RetryReason.TRUNCATED_ANSWER,
-}
+_REFUSALS = MappingProxyType(
+    {
+        AttemptEnd.SHED: RefusalReason.SHED_BY_BACKEND,
+        AttemptEnd.SERVER_ERROR: RefusalReason.SERVER_ERROR,
+        AttemptEnd.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
+        AttemptEnd.CONNECTION_LOST: RefusalReason.CONNECTION_LOST,
+        AttemptEnd.TRUNCATED: RefusalReason.TRUNCATED_ANSWER,
+        AttemptEnd.MALFORMED: RefusalReason.MALFORMED_ANSWER,
+        AttemptEnd.UNFRAMED: RefusalReason.UNFRAMED_ANSWER,
+        AttemptEnd.DEADLINE: RefusalReason.DEADLINE_EXCEEDED,
+        AttemptEnd.CALLER_GONE: RefusalReason.CALLER_GONE,
+    }
+)
+
+_RETRIES = MappingProxyType(
+    {
+        AttemptEnd.SHED: RetryReason.SHED_BY_BACKEND,
+        AttemptEnd.SERVER_ERROR: RetryReason.SERVER_ERROR,
+        AttemptEnd.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+        AttemptEnd.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
+        AttemptEnd.TRUNCATED: RetryReason.TRUNCATED_ANSWER,
+    }
+)
 
 
 def record_attempt(ledger: CallLedger, attempt: Attempt) -> CallLedger:
--- a/packages/turmericpost-core/src/turmericpost_core/routing/balancer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/balancer.py
@@ -59,12 +59,9 @@
         best_score = float('inf')
         for backend in backends:
             load = self._loads.get(backend.address)
-            if load is None or not load.has_room(now_s):
+            if load is None or backend.address in tried:
                 continue
-            if backend.address in tried:
-                continue
-            score = (load.in_flight + self._random.random()) / load.limit
-            score *= 1 + load.latency_s
+            score = self._score(load, now_s)
             if score < best_score:
                 best = backend
                 best_score = score
@@ -109,6 +106,12 @@
         if load is not None:
             load.record_report(report, now_s)
 
+    def _score(self, load: BackendLoad, now_s: float) -> float:
+        if not load.has_room(now_s):
+            return float('inf')
+        share = (load.in_flight + self._random.random()) / load.limit
+        return share * (1 + load.latency_s)
+
     def _review(self, service: str) -> None:
         peers = [
             load
--- a/packages/turmericpost-core/src/turmericpost_core/routing/selectors.py
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/selectors.py
@@ -39,7 +39,8 @@
     stem = prefix.rstrip('/')
     if not path.startswith(stem):
         return False
-    return path[len(stem) :][:1] in {'', '/', '?'}
+    rest = path.removeprefix(stem)
+    return not rest or rest.startswith('/')
 
 
 def has_labels(labels: Mapping[str, str], wanted: Mapping[str, str]) -> bool:
--- /dev/null
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command of turmericpost."""
--- /dev/null
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/commands.py
@@ -0,0 +1,138 @@
+"""Commands of the turmericpostctl binary."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from http import HTTPStatus
+from json import dumps as encode_json
+from pathlib import Path
+from typing import Any
+
+from turmericpost_ctl.admin_client import AdminClient
+from turmericpost_ctl.exit_status import ExitStatus
+from turmericpost_ctl.publishing import PublishOrder, publish_document
+from turmericpost_ctl.rendering import (
+    explain_lines,
+    history_lines,
+    plan_lines,
+    status_lines,
+)
+from turmericpost_ctl.settings import DEFAULT_ADMIN_URL, DEFAULT_WAIT_S
+
+
+def publish(
+    document: Path,
+    *,
+    base_revision: int | None = None,
+    wait_s: float = DEFAULT_WAIT_S,
+    admin_url: str = DEFAULT_ADMIN_URL,
+) -> int:
+    """Publish a configuration document and wait until it is in force.
+
+    :param document: TOML or JSON file
+    :param base_revision: revision the document was made from; the one in
+        force if not given
+    :param wait_s: seconds to wait for the entry VMs to confirm
+    :param admin_url: admin port of an entry VM
+    """
+    order = PublishOrder(document, base_revision, wait_s)
+    ended = publish_document(AdminClient(admin_url), order)
+    failed = ended.status is not ExitStatus.IN_FORCE
+    _print(ended.lines, failed=failed)
+    return ended.status.value
+
+
+def show(*, admin_url: str = DEFAULT_ADMIN_URL) -> int:
+    """Print the configuration in force as JSON.
+
+    :param admin_url: admin port of an entry VM
+    """
+    return _print_view(admin_url, 'configuration', _json_lines)
+
+
+def status(
+    *,
+    json: bool = False,
+    admin_url: str = DEFAULT_ADMIN_URL,
+) -> int:
+    """Print the revision, the entry VMs and the backend servers.
+
+    :param json: print JSON
+    :param admin_url: admin port of an entry VM
+    """
+    return _print_view(
+        admin_url,
+        'status',
+        _json_lines if json else status_lines,
+    )
+
+
+def history(*, admin_url: str = DEFAULT_ADMIN_URL) -> int:
+    """Print who changed what.
+
+    :param admin_url: admin port of an entry VM
+    """
+    return _print_view(admin_url, 'history', history_lines)
+
+
+def plan(*, admin_url: str = DEFAULT_ADMIN_URL) -> int:
+    """Print the coming departures of failure domains.
+
+    :param admin_url: admin port of an entry VM
+    """
+    return _print_view(admin_url, 'plan', plan_lines)
+
+
+def explain(
+    *,
+    service: str,
+    account: str = '',
+    method: str = 'GET',
+    path: str = '/',
+    admin_url: str = DEFAULT_ADMIN_URL,
+) -> int:
+    """Print which backend servers may serve a call, which not and why.
+
+    :param service: service of the call
+    :param account: client account of the call
+    :param method: method of the call
+    :param path: path of the call
+    :param admin_url: admin port of an entry VM
+    """
+    query = {
+        'service': service,
+        'account': account,
+        'method': method,
+        'path': path,
+    }
+    return _print_view(admin_url, 'explain', explain_lines, query)
+
+
+def _print_view(
+    admin_url: str,
+    view: str,
+    lines: Callable[[Mapping[str, Any]], Iterator[str]],
+    query: Mapping[str, str] | None = None,
+) -> int:
+    read = AdminClient(admin_url).get(view, query)
+    if read.is_err():
+        _print((str(read.unwrap_err()),), failed=True)
+        return ExitStatus.NOT_ACCEPTED.value
+    answer = read.unwrap()
+    if answer.status != HTTPStatus.OK:
+        _print((str(answer.body.get('title', answer.status)),), failed=True)
+        return ExitStatus.USAGE.value
+    _print(lines(answer.body), failed=False)
+    return ExitStatus.IN_FORCE.value
+
+
+def _json_lines(view: Mapping[str, Any]) -> Iterator[str]:
+    yield encode_json(view, indent=2)
+
+
+def _print(lines: Iterable[str], *, failed: bool) -> None:
+    output = sys.stderr if failed else sys.stdout
+    prefix = 'turmericpostctl: ' if failed else ''
+    for line in lines:
+        output.write(f'{prefix}{line}\n')
--- /dev/null
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/run.py
@@ -0,0 +1,23 @@
+"""Entry point of the ``turmericpostctl`` binary."""
+
+from __future__ import annotations
+
+import sys
+
+from turmericpost_command.command_line import run_command
+from turmericpost_ctl.commands import (
+    explain,
+    history,
+    plan,
+    publish,
+    show,
+    status,
+)
+
+_FUNCTIONS = (publish, show, status, history, explain, plan)
+
+
+def run() -> None:
+    """Run the command that the arguments name."""
+    functions = {function.__name__: function for function in _FUNCTIONS}
+    sys.exit(run_command('turmericpostctl', functions, sys.argv[1:]))
--- a/packages/turmericpost-entry/src/turmericpost/admin/publishing.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/publishing.py
@@ -5,6 +5,7 @@
 import json
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any
 
 from result import Err, Result
@@ -19,11 +20,13 @@
 from turmericpost_core.config.document import Document
 from turmericpost_core.config.fold import ChangeVerdict
 
-_VERDICT_STATUS = {
-    ChangeVerdict.ACCEPTED: HTTPStatus.OK,
-    ChangeVerdict.CONFLICT: HTTPStatus.CONFLICT,
-    ChangeVerdict.INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
-}
+_VERDICT_STATUS = MappingProxyType(
+    {
+        ChangeVerdict.ACCEPTED: HTTPStatus.OK,
+        ChangeVerdict.CONFLICT: HTTPStatus.CONFLICT,
+        ChangeVerdict.INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+    }
+)
 
 
 @dataclass(frozen=True)
@@ -59,7 +62,7 @@
     if not isinstance(raw, dict):
         return Err(ChangeRequestError(('body: not an object',)))
     base = raw.get('base_revision')
-    if base is not None and type(base) is not int:
+    if not _is_base_revision(base):
         return Err(ChangeRequestError(('base_revision: not a number',)))
     source = _document_text(raw)
     if source is None:
@@ -106,6 +109,12 @@
     return AdminReply(status, problem)
 
 
+def _is_base_revision(base: object) -> bool:
+    if base is None:
+        return True
+    return isinstance(base, int) and not isinstance(base, bool)
+
+
 def _problem(kind: str, status: HTTPStatus) -> dict[str, Any]:
     return {
         'type': f'urn:turmericpost:admin:{kind}',
--- a/packages/turmericpost-entry/src/turmericpost/admin/resources.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/resources.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeAlias
 
 from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
@@ -22,10 +22,12 @@
 )
 from turmericpost.forward.call_facts import home_region_set
 from turmericpost.forward.refusals import refusal_status
-from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.events import log_failure
 from turmericpost.observe.exposition import exposition
 from turmericpost_core.routing.facts import CallFacts
 
+View: TypeAlias = Callable[[AdminState], dict[str, Any]]
+
 _JSON = b'application/json'
 _PROBLEM = b'application/problem+json'
 _METRICS_TEXT = b'text/plain; version=0.0.4; charset=utf-8'
@@ -34,7 +36,7 @@
 def admin_root(state: AdminState) -> Resource:
     """Return the root of the admin port."""
     api = Resource()
-    views: dict[bytes, Callable[[AdminState], dict[str, Any]]] = {
+    views: dict[bytes, View] = {
         b'status': status_view,
         b'configuration': configuration_view,
         b'history': history_view,
@@ -53,18 +55,18 @@
 class ViewResource(Resource):
     """A JSON view of the state."""
 
-    isLeaf = True  # noqa: N815, WPS115
+    isLeaf = True  # noqa: WPS115
 
     def __init__(
         self,
         state: AdminState,
-        view: Callable[[AdminState], dict[str, Any]],
+        view: View,
     ) -> None:
         super().__init__()
         self._state = state
         self._view = view
 
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+    def render_GET(self, request: Request) -> bytes:
         """Answer with the view."""
         return _json_body(request, HTTPStatus.OK, self._view(self._state))
 
@@ -72,13 +74,13 @@
 class MetricsResource(Resource):
     """Metrics in the Prometheus text format."""
 
-    isLeaf = True  # noqa: N815, WPS115
+    isLeaf = True  # noqa: WPS115
 
     def __init__(self, state: AdminState) -> None:
         super().__init__()
         self._state = state
 
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+    def render_GET(self, request: Request) -> bytes:
         """Answer with the metrics."""
         request.setHeader(b'content-type', _METRICS_TEXT)
         return exposition(self._state.metrics)
@@ -87,13 +89,13 @@
 class ExplainResource(Resource):
     """Why backend servers may or may not serve a call."""
 
-    isLeaf = True  # noqa: N815, WPS115
+    isLeaf = True  # noqa: WPS115
 
     def __init__(self, state: AdminState) -> None:
         super().__init__()
         self._state = state
 
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+    def render_GET(self, request: Request) -> bytes:
         """Answer for the call described by the query."""
         facts = CallFacts(
             service=_argument(request, b'service', ''),
@@ -120,13 +122,13 @@
 class ChangesResource(Resource):
     """Takes changes of the configuration."""
 
-    isLeaf = True  # noqa: N815, WPS115
+    isLeaf = True  # noqa: WPS115
 
     def __init__(self, state: AdminState) -> None:
         super().__init__()
         self._state = state
 
-    def render_POST(self, request: Request) -> int:  # noqa: N802
+    def render_POST(self, request: Request) -> int:
         """Publish the change in the body."""
         publishing = Deferred.fromCoroutine(self._publish(request))
         publishing.addErrback(_fail, request)
@@ -157,11 +159,7 @@
 
 
 def _fail(failure: Any, request: Request) -> None:
-    log_event(
-        LogEvent.UNEXPECTED_FAILURE,
-        error=failure.type.__name__,
-        detail=failure.getErrorMessage(),
-    )
-    if not (request.finished or request._disconnected):  # noqa: SLF001
+    log_failure(failure)
+    if not (request.finished or request._disconnected):
         request.setResponseCode(HTTPStatus.INTERNAL_SERVER_ERROR.value)
         request.finish()
--- a/packages/turmericpost-entry/src/turmericpost/admin/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from turmericpost.settings.declare import Bounds, setting
+from turmericpost_command.settings.declare import Bounds, setting
 
 
 @dataclass(frozen=True)
--- a/packages/turmericpost-entry/src/turmericpost/commands/demo.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/demo.py
@@ -13,7 +13,7 @@
 from turmericpost.commands.settings_command import EXIT_OK, EXIT_USAGE
 from turmericpost.node import EntryNode
 from turmericpost.observe.events import LogEvent, log_event, open_log
-from turmericpost.settings.groups import Settings, resolve_settings
+from turmericpost.settings_groups import Settings, resolve_settings
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_standins.deployments import (
     Deployment,
@@ -25,7 +25,6 @@
 EXIT_PORT_TAKEN = 1
 
 _READY_CHECK_S = 0.02
-_LOOPBACK = '127.0.0.1'
 
 
 @dataclass(frozen=True)
@@ -119,10 +118,10 @@
             return
         deployment = self._plan.deployment
         service = deployment.services[0].name
-        caller = f'{_LOOPBACK}:{self._node.caller_port}'
-        admin = f'{_LOOPBACK}:{self._node.admin_port}'
+        caller = _loopback(self._node.caller_port)
+        admin = _loopback(self._node.admin_port)
         backends = {
-            name: [f'{_LOOPBACK}:{port}' for port in ports]
+            name: [_loopback(port) for port in ports]
             for name, ports in self._platform.backend_ports.items()
         }
         _say(f'deployment: {deployment.name}')
@@ -130,11 +129,8 @@
         _say(f'operators:  http://{admin}')
         _say(f'back ends:  {json.dumps(backends)}')
         _say('try:')
-        _say(
-            f'  curl -i -H "Host: {service}" '
-            f'-H "Turmericpost-Account: {deployment.account}" '
-            f'http://{caller}/',
-        )
+        account = f'Turmericpost-Account: {deployment.account}'
+        _say(f'  curl -i -H "Host: {service}" -H "{account}" http://{caller}/')
         _say('ready')
 
     async def _stop(self) -> None:
@@ -143,6 +139,10 @@
         await self._platform.stop()
 
 
+def _loopback(port: int) -> str:
+    return f'127.0.0.1:{port}'
+
+
 def _say(line: str) -> None:
     sys.stdout.write(f'{line}\n')
     sys.stdout.flush()
--- a/packages/turmericpost-entry/src/turmericpost/commands/process.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/process.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.defer import Deferred
 
-from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.events import LogEvent, log_event, log_failure
 
 
 class ProcessEnd:
@@ -35,21 +35,13 @@
             return
         self._is_ending = True
         stopping = Deferred.fromCoroutine(self._stop())
-        stopping.addErrback(_log_failure)
+        stopping.addErrback(log_failure)
         stopping.addBoth(self._stopped)
 
     def _on_signal(self, number: int, _frame: object) -> None:
         self._reactor.callFromThread(self.end)
 
-    def _stopped(self, _result: object) -> None:
+    def _stopped(self, _ended: object) -> None:
         log_event(LogEvent.PROCESS_STOPPED)
         if self._reactor.running:
             self._reactor.stop()
-
-
-def _log_failure(failure: Any) -> None:
-    log_event(
-        LogEvent.UNEXPECTED_FAILURE,
-        error=failure.type.__name__,
-        detail=failure.getErrorMessage(),
-    )
--- a/packages/turmericpost-entry/src/turmericpost/commands/serve.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/serve.py
@@ -12,8 +12,8 @@
 from turmericpost.commands.settings_command import EXIT_OK, report_errors
 from turmericpost.node import EntryNode
 from turmericpost.observe.events import LogEvent, log_event, open_log
-from turmericpost.settings.flags import FlagTexts
-from turmericpost.settings.groups import Settings, resolve_settings
+from turmericpost.settings_groups import Settings, resolve_settings
+from turmericpost_command.settings.flags import FlagTexts
 
 EXIT_PORT_TAKEN = 1
 
--- a/packages/turmericpost-entry/src/turmericpost/commands/settings_command.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/settings_command.py
@@ -7,9 +7,9 @@
 import sys
 from dataclasses import asdict
 
-from turmericpost.settings.errors import SettingError
-from turmericpost.settings.flags import FlagTexts
-from turmericpost.settings.groups import resolve_settings
+from turmericpost.settings_groups import resolve_settings
+from turmericpost_command.settings.errors import SettingError
+from turmericpost_command.settings.flags import FlagTexts
 
 EXIT_OK = 0
 EXIT_USAGE = 2
--- a/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
@@ -166,13 +166,13 @@
             self._connection.cancel()
         self._finish(AttemptResult.CANCELLED, end)
 
-    def _finish(self, result: AttemptResult, end: AttemptEnd) -> None:
+    def _finish(self, standing: AttemptResult, end: AttemptEnd) -> None:
         if self._is_over:
             return
         self._is_over = True
         self._tools.balancer.finish(
             self._load,
-            result,
+            standing,
             self._latency_s,
             self._tools.clock.monotonic_s(),
         )
--- a/packages/turmericpost-entry/src/turmericpost/forward/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call.py
@@ -103,7 +103,7 @@
         """Attempts ended so far."""
         return self._ledger.attempts
 
-    def set_deadline_timer(self, timer: IDelayedCall) -> None:
+    def keep_deadline_timer(self, timer: IDelayedCall) -> None:
         """Keep the timer that ends the call at its deadline."""
         self._deadline_timer = timer
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/load_header.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/load_header.py
@@ -11,6 +11,7 @@
 
 LOAD_FIELD = b'endpoint-load-metrics'
 
+_UNREADABLE = (ValueError, TypeError, KeyError, OverflowError)
 _JSON_PREFIX = b'JSON '
 
 
@@ -24,7 +25,7 @@
     """Read the named metrics of a report in the published ORCA JSON form."""
     try:
         return Ok(_report(json.loads(text.removeprefix(_JSON_PREFIX))))
-    except (ValueError, TypeError, KeyError, OverflowError) as error:
+    except _UNREADABLE as error:
         return Err(MalformedLoadReportError(str(error)))
 
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/pool.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/pool.py
@@ -40,11 +40,11 @@
         """Keep the connection for others once it is there."""
         self._taker = None
 
-    def buildProtocol(self, addr: IAddress) -> BackendConnection:  # noqa: N802
+    def buildProtocol(self, addr: IAddress) -> BackendConnection:
         """Return the protocol of the opened connection."""
         return _OpeningConnection(self)
 
-    def clientConnectionFailed(  # noqa: N802
+    def clientConnectionFailed(
         self,
         connector: IConnector,
         reason: Failure,
@@ -130,7 +130,7 @@
         super().__init__()
         self._pending = pending
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Set up the transport and hand the connection over."""
         super().connectionMade()
         self._pending.opened(self)
--- a/packages/turmericpost-entry/src/turmericpost/forward/refusals.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/refusals.py
@@ -4,6 +4,7 @@
 
 import json
 from http import HTTPStatus
+from types import MappingProxyType
 
 from turmericpost.http1.exchange import Exchange
 from turmericpost.http1.heads import Headers
@@ -13,26 +14,28 @@
 REASON = b'turmericpost-reason'
 PROBLEM_TYPE = b'application/problem+json'
 
-_STATUS = {
-    RefusalReason.MALFORMED_REQUEST: HTTPStatus.BAD_REQUEST,
-    RefusalReason.HEADERS_TOO_LARGE: (
-        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-    ),
-    RefusalReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    RefusalReason.SLOW_CALLER: HTTPStatus.REQUEST_TIMEOUT,
-    RefusalReason.UPGRADE_UNSUPPORTED: HTTPStatus.NOT_IMPLEMENTED,
-    RefusalReason.TOO_DEEP: HTTPStatus.LOOP_DETECTED,
-    RefusalReason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
-    RefusalReason.UNKNOWN_ACCOUNT: HTTPStatus.FORBIDDEN,
-    RefusalReason.OUTSIDE_HOME_REGIONS: HTTPStatus.MISDIRECTED_REQUEST,
-    RefusalReason.DEADLINE_EXCEEDED: HTTPStatus.GATEWAY_TIMEOUT,
-    RefusalReason.CONNECT_FAILED: HTTPStatus.BAD_GATEWAY,
-    RefusalReason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
-    RefusalReason.TRUNCATED_ANSWER: HTTPStatus.BAD_GATEWAY,
-    RefusalReason.MALFORMED_ANSWER: HTTPStatus.BAD_GATEWAY,
-    RefusalReason.UNFRAMED_ANSWER: HTTPStatus.BAD_GATEWAY,
-    RefusalReason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
-}
+_STATUS = MappingProxyType(
+    {
+        RefusalReason.MALFORMED_REQUEST: HTTPStatus.BAD_REQUEST,
+        RefusalReason.HEADERS_TOO_LARGE: (
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        ),
+        RefusalReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        RefusalReason.SLOW_CALLER: HTTPStatus.REQUEST_TIMEOUT,
+        RefusalReason.UPGRADE_UNSUPPORTED: HTTPStatus.NOT_IMPLEMENTED,
+        RefusalReason.TOO_DEEP: HTTPStatus.LOOP_DETECTED,
+        RefusalReason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+        RefusalReason.UNKNOWN_ACCOUNT: HTTPStatus.FORBIDDEN,
+        RefusalReason.OUTSIDE_HOME_REGIONS: HTTPStatus.MISDIRECTED_REQUEST,
+        RefusalReason.DEADLINE_EXCEEDED: HTTPStatus.GATEWAY_TIMEOUT,
+        RefusalReason.CONNECT_FAILED: HTTPStatus.BAD_GATEWAY,
+        RefusalReason.CONNECTION_LOST: HTTPStatus.BAD_GATEWAY,
+        RefusalReason.TRUNCATED_ANSWER: HTTPStatus.BAD_GATEWAY,
+        RefusalReason.MALFORMED_ANSWER: HTTPStatus.BAD_GATEWAY,
+        RefusalReason.UNFRAMED_ANSWER: HTTPStatus.BAD_GATEWAY,
+        RefusalReason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    }
+)
 
 
 def refusal_status(reason: RefusalReason) -> HTTPStatus:
--- a/packages/turmericpost-entry/src/turmericpost/forward/request_body.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/request_body.py
@@ -28,7 +28,7 @@
     @property
     def waiting_bytes(self) -> int:
         """Bytes in memory that no connection has taken yet."""
-        return 0 if self._connection is not None else self._kept_bytes
+        return self._kept_bytes if self._connection is None else 0
 
     def add(self, body: bytes) -> None:
         """Take a part of the body from the caller."""
--- a/packages/turmericpost-entry/src/turmericpost/forward/well_known.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/well_known.py
@@ -43,11 +43,11 @@
     def __init__(self, source: AnswerSource) -> None:
         self._source = source
 
-    def handle(self, exchange: Exchange) -> None:
+    def answer(self, exchange: Exchange) -> None:
         """Answer one request."""
-        answer = self._answer(exchange)
-        if answer.is_err():
-            reason = answer.unwrap_err()
+        made = self._make(exchange)
+        if made.is_err():
+            reason = made.unwrap_err()
             self._source.record_refusal(reason)
             refuse_exchange(exchange, Outcome.NOT_RUN, reason)
             return
@@ -55,9 +55,9 @@
             (b'content-type', b'application/json'),
             (b'turmericpost-outcome', b'complete'),
         ]
-        exchange.send_whole(HTTPStatus.OK, headers, answer.unwrap())
+        exchange.send_whole(HTTPStatus.OK, headers, made.unwrap())
 
-    def _answer(self, exchange: Exchange) -> Result[bytes, RefusalReason]:
+    def _make(self, exchange: Exchange) -> Result[bytes, RefusalReason]:
         url = urlsplit(exchange.head.target.decode('latin-1'))
         services = parse_qs(url.query).get('service', [])
         if url.path != _ADDRESSES_PATH or len(services) != 1:
--- a/packages/turmericpost-entry/src/turmericpost/http1/client.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/client.py
@@ -54,7 +54,7 @@
         self._skips_message = False
         self._ended = False
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Set up the transport."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
@@ -89,7 +89,7 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+    def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         """Parse what the backend server sent."""
         if self._receiver is None:
             self.cancel()
@@ -99,7 +99,7 @@
         elif self._ended:
             self._end()
 
-    def connectionLost(  # noqa: N802
+    def connectionLost(
         self,
         reason: Failure = connectionDone,
     ) -> None:
@@ -150,17 +150,17 @@
             self._ended = True
             self.is_usable = self._parser.keeps_alive
 
-    def pauseProducing(self) -> None:  # noqa: N802
+    def pauseProducing(self) -> None:
         """Pass on that the backend server reads slowly."""
         if self._receiver is not None:
             self._receiver.pause_request()
 
-    def resumeProducing(self) -> None:  # noqa: N802
+    def resumeProducing(self) -> None:
         """Pass on that the backend server reads again."""
         if self._receiver is not None:
             self._receiver.resume_request()
 
-    def stopProducing(self) -> None:  # noqa: N802
+    def stopProducing(self) -> None:
         """Ignore: the loss of the connection tells the same."""
 
     def _end(self) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/http1/heads.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/heads.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import TypeAlias
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -30,7 +31,9 @@
     )
 )
 
-_REASONS = {status.value: status.phrase for status in HTTPStatus}
+_REASONS = MappingProxyType(
+    {status.value: status.phrase for status in HTTPStatus}
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -53,13 +53,13 @@
         """Whether the VM is leaving."""
         return self._port.is_draining
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Set up the transport."""
         self._port.connections.add(self)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
-    def connectionLost(  # noqa: N802
+    def connectionLost(
         self,
         reason: Failure = connectionDone,
     ) -> None:
@@ -71,7 +71,7 @@
         for exchange in exchanges:
             exchange.caller_gone()
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+    def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         """Parse what the caller sent."""
         self._progress_s = self._port.clock.monotonic_s()
         if self._closing or self._unreadable:
@@ -120,7 +120,7 @@
         if head.content_length == 0:
             exchange.end_body()
         if len(self._exchanges) == 1:
-            self._port.handle(exchange)
+            self._port.begin(exchange)
         elif len(self._exchanges) > _PIPELINED_EXCHANGES:
             self.hold_reading(held=True)
 
@@ -161,7 +161,7 @@
         elif not self._closing:
             self.hold_reading(held=False)
             if self._exchanges:
-                self._port.handle(self._exchanges[0])
+                self._port.begin(self._exchanges[0])
 
     def abort(self) -> None:
         """Close at once."""
@@ -181,31 +181,36 @@
             if silent_s > _LINGER_S:
                 self.abort()
         elif self._head_begun_s is not None:
-            if now_s - self._head_begun_s > settings.caller_silence_s:
-                self._reject(RefusalReason.SLOW_CALLER)
-        elif not self._exchanges:
-            if silent_s > settings.caller_idle_s:
-                self._close()
-        elif silent_s > settings.caller_silence_s:
-            self._check_exchange()
-
-    def pauseProducing(self) -> None:  # noqa: N802
+            self._check_head_time(now_s)
+        elif self._exchanges:
+            self._check_exchange(silent_s)
+        elif silent_s > settings.caller_idle_s:
+            self._close()
+
+    def pauseProducing(self) -> None:
         """Pass on that the caller reads slowly."""
         self._answer_paused = True
         if self._exchanges:
             self._exchanges[0].pause_answer()
 
-    def resumeProducing(self) -> None:  # noqa: N802
+    def resumeProducing(self) -> None:
         """Pass on that the caller reads again."""
         self._answer_paused = False
         self._progress_s = self._port.clock.monotonic_s()
         if self._exchanges:
             self._exchanges[0].resume_answer()
 
-    def stopProducing(self) -> None:  # noqa: N802
+    def stopProducing(self) -> None:
         """Ignore: the loss of the connection tells the same."""
 
-    def _check_exchange(self) -> None:
+    def _check_head_time(self, now_s: float) -> None:
+        begun_s = self._head_begun_s or now_s
+        if now_s - begun_s > self._port.settings.caller_silence_s:
+            self._reject(RefusalReason.SLOW_CALLER)
+
+    def _check_exchange(self, silent_s: float) -> None:
+        if silent_s <= self._port.settings.caller_silence_s:
+            return
         if self._answer_paused:
             self._port.record_slow_reader()
             self.abort()
@@ -227,7 +232,7 @@
         exchange.fail_body(reason)
         self._exchanges.append(exchange)
         if len(self._exchanges) == 1:
-            self._port.handle(exchange)
+            self._port.begin(exchange)
 
     def _close_after_answer(self) -> None:
         if self._receiving is None:
@@ -251,19 +256,19 @@
 
     def __init__(
         self,
-        handle: ExchangeHandler,
+        begin: ExchangeHandler,
         settings: CallerSettings,
         clock: Clock,
         record_refusal: Callable[[RefusalReason], None],
     ) -> None:
-        self.handle = handle
+        self.begin = begin
         self.settings = settings
         self.clock = clock
         self.is_draining = False
         self.connections: set[CallerConnection] = set()
         self._record_refusal = record_refusal
 
-    def buildProtocol(self, addr: IAddress) -> CallerConnection:  # noqa: N802
+    def buildProtocol(self, addr: IAddress) -> CallerConnection:
         """Return the protocol of a new connection."""
         return CallerConnection(self)
 
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -10,30 +10,23 @@
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
-from turmericpost.admin.resources import AdminState, admin_root
+from turmericpost.admin.resources import admin_root
+from turmericpost.admin.views import AdminState
 from turmericpost.forward.attempt import AttemptTools
 from turmericpost.forward.forwarder import Forwarder
 from turmericpost.forward.pool import ConnectionPool
 from turmericpost.forward.well_known import AddressAnswers, AnswerSource
 from turmericpost.http1.server import CallerPort
-from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.observe.metrics import Metrics
-from turmericpost.peer.service import ConfigurationExchange, PeerService
+from turmericpost.peer.service import ConfigurationExchange, new_peer_service
 from turmericpost.peer.stream import PeerListener
-from turmericpost.platform.follower import ConfigurationFollower
-from turmericpost.platform.http import PlatformHttp
-from turmericpost.platform.log_client import LogClient
-from turmericpost.platform.publisher import Publisher
-from turmericpost.platform.vm_list import VmListClient
+from turmericpost.platform.clients import connect_platform
 from turmericpost.reactor_clock import ReactorClock
-from turmericpost.settings.groups import Settings
+from turmericpost.settings_groups import Settings
 from turmericpost_core.config.fold import Configuration
 from turmericpost_core.config.service_state import domains_out
 from turmericpost_core.membership.facts import VmFact, VmIdentity, VmState
-from turmericpost_core.membership.view import (
-    MembershipSettings,
-    MembershipView,
-)
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.balancer import Balancer
 from turmericpost_core.routing.facts import Location
@@ -57,13 +50,19 @@
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self._is_stopping = False
-        self._build_platform()
+        self._platform = connect_platform(
+            reactor,
+            settings.platform,
+            self.clock,
+            self.metrics,
+            self._install,
+        )
         self._build_calls()
 
     @property
     def configuration(self) -> Configuration:
         """Configuration in force at this VM."""
-        return self.follower.configuration
+        return self._platform.follower.configuration
 
     def start(self) -> None:
         """Open the ports and begin to follow the platform and the peers."""
@@ -77,10 +76,10 @@
         ):
             loop = LoopingCall(step)
             loop.clock = self._reactor
-            loop.start(interval_s).addErrback(_log_failure)
+            loop.start(interval_s).addErrback(log_failure)
             self._loops.append(loop)
-        following = Deferred.fromCoroutine(self.follower.run())
-        following.addErrback(_log_failure)
+        following = Deferred.fromCoroutine(self._platform.follower.run())
+        following.addErrback(log_failure)
 
     async def stop(self) -> None:
         """Leave: vanish from answers, serve on, finish what is in flight."""
@@ -88,7 +87,7 @@
             return
         self._is_stopping = True
         log_event(LogEvent.DRAIN_STARTED)
-        self.peers.set_own(VmState.LEAVING, self.configuration.revision)
+        self.peers.state_own(VmState.LEAVING, self.configuration.revision)
         self._caller_port.is_draining = True
         await deferLater(self._reactor, self._answers_valid_s())
         await self._close_callers()
@@ -105,28 +104,6 @@
         """Port that operators connect to."""
         return int(self._ports[1].getHost().port)
 
-    def _build_platform(self) -> None:
-        platform = self._settings.platform
-        self._http = PlatformHttp(
-            self._reactor,
-            platform.platform_timeout_s,
-            self.metrics,
-        )
-        log = LogClient(self._http, platform.log_service_url)
-        self._vm_list = VmListClient(self._http, platform.vm_list_url)
-        self.follower = ConfigurationFollower(
-            self._reactor,
-            log,
-            platform.configuration_stream,
-            self._install,
-        )
-        self.publisher = Publisher(
-            log,
-            platform.configuration_stream,
-            self.follower,
-            self.clock,
-        )
-
     def _build_calls(self) -> None:
         forward = self._settings.forward
         self._balancer = Balancer(SystemRandom())
@@ -148,7 +125,7 @@
             self._reactor,
             forward,
             tools,
-            answers.handle,
+            answers.answer,
         )
         self._caller_port = CallerPort(
             self.forwarder.begin,
@@ -176,7 +153,7 @@
             balancer=self._balancer,
             known_vms=lambda: self.peers.view.known(),
             location=self._location(),
-            publisher=self.publisher,
+            publisher=self._platform.publisher,
         )
         site = Site(admin_root(state))
         site.noisy = False
@@ -189,17 +166,14 @@
 
     def _start_peers(self) -> None:
         peers = self._settings.peers
-        view = MembershipView(
-            VmFact(self._identity(), self._incarnation()),
-            MembershipSettings(lost_after_s=peers.lost_after_s),
-        )
-        self.peers = PeerService(
+        self.peers = new_peer_service(
             self._reactor,
             self.clock,
-            view,
+            VmFact(self._identity(), self._incarnation()),
+            peers.lost_after_s,
             ConfigurationExchange(
                 current=lambda: self.configuration,
-                adopt=self.follower.adopt,
+                adopt=self._platform.follower.adopt,
             ),
             self.metrics,
         )
@@ -265,7 +239,7 @@
             revision=configuration.revision,
         )
         state = VmState.LEAVING if self._is_stopping else VmState.LIVE
-        self.peers.set_own(state, configuration.revision)
+        self.peers.state_own(state, configuration.revision)
         if is_first:
             log_event(LogEvent.READY)
 
@@ -276,7 +250,7 @@
             self._install(self.configuration)
 
     async def _read_list(self) -> None:
-        listed = await self._vm_list.read()
+        listed = await self._platform.vm_list.read()
         if listed.is_ok():
             vms = listed.unwrap()
             self.peers.view.record_list(vms.listed, vms.leaving)
@@ -295,19 +269,11 @@
             await deferLater(self._reactor, _DRAIN_CHECK_S)
 
     async def _close_rest(self) -> None:
-        self.follower.stop()
+        self._platform.follower.stop()
         for loop in self._loops:
             if loop.running:
                 loop.stop()
         for port in self._ports[1:]:
             await port.stopListening()
         self.peers.close()
-        await self._http.close()
-
-
-def _log_failure(failure: Any) -> None:
-    log_event(
-        LogEvent.UNEXPECTED_FAILURE,
-        error=failure.type.__name__,
-        detail=failure.getErrorMessage(),
-    )
+        await self._platform.http.close()
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -5,8 +5,11 @@
 import json
 import sys
 from enum import Enum
+from typing import Any
 
 from logbook import Logger, StreamHandler, lookup_level
+from twisted.logger import globalLogPublisher
+from twisted.python.failure import Failure
 
 
 class Level(Enum):
@@ -58,12 +61,23 @@
 def open_log(*, debug: bool) -> None:
     """Write events as JSON lines to standard error."""
     level = Level.DEBUG if debug else Level.INFO
-    handler = StreamHandler(
+    output = StreamHandler(
         sys.stderr,
         level=lookup_level(level.value),
         format_string='{record.message}',
     )
-    handler.push_application()
+    output.push_application()
+    globalLogPublisher.addObserver(_log_framework_failure)
+
+
+def log_failure(failure: Failure) -> None:
+    """Log a failure that no code expects."""
+    log_event(
+        LogEvent.UNEXPECTED_FAILURE,
+        error=failure.type.__name__,
+        detail=failure.getErrorMessage(),
+        traceback=failure.getTraceback(),
+    )
 
 
 def log_event(event: LogEvent, **fields: object) -> None:
@@ -76,3 +90,9 @@
         **fields,
     }
     _logger.log(level, '{}', json.dumps(line, default=str))
+
+
+def _log_framework_failure(framework_event: dict[str, Any]) -> None:
+    failure = framework_event.get('log_failure')
+    if failure is not None:
+        log_failure(failure)
--- a/packages/turmericpost-entry/src/turmericpost/peer/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/messages.py
@@ -12,7 +12,10 @@
 from turmericpost_core.config.fold import Configuration
 from turmericpost_core.membership.facts import VmFact, VmIdentity, VmState
 
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+_BYTES_PER_MB = 1_048_576
+_MAX_MESSAGE_MB = 16
+
+MAX_MESSAGE_BYTES = _MAX_MESSAGE_MB * _BYTES_PER_MB
 
 _HEARTBEAT = 1
 _CONFIGURATION_REQUEST = 2
@@ -93,14 +96,16 @@
     raise ValueError(kind)
 
 
-def _packed_fact(fact: VmFact) -> list[str | int]:
+def _packed_fact(fact: VmFact) -> list[Any]:
     identity = fact.identity
     return [
-        identity.name,
-        identity.caller_host,
-        identity.caller_port,
-        identity.failure_domain,
-        identity.region,
+        [
+            identity.name,
+            identity.caller_host,
+            identity.caller_port,
+            identity.failure_domain,
+            identity.region,
+        ],
         fact.incarnation,
         fact.refutation,
         fact.state.value,
@@ -109,16 +114,9 @@
 
 
 def _unpacked_fact(packed: Any) -> VmFact:
-    name, host, port, domain, region, *standing = packed
-    incarnation, refutation, state, revision = standing
+    identity, incarnation, refutation, state, revision = packed
     return VmFact(
-        identity=VmIdentity(
-            name=_checked(name, str),
-            caller_host=_checked(host, str),
-            caller_port=_checked(port, int),
-            failure_domain=_checked(domain, str),
-            region=_checked(region, str),
-        ),
+        identity=_unpacked_identity(identity),
         incarnation=_checked(incarnation, int),
         refutation=_checked(refutation, int),
         state=VmState(_checked(state, int)),
@@ -126,8 +124,19 @@
     )
 
 
+def _unpacked_identity(packed: Any) -> VmIdentity:
+    name, host, port, domain, region = packed
+    return VmIdentity(
+        name=_checked(name, str),
+        caller_host=_checked(host, str),
+        caller_port=_checked(port, int),
+        failure_domain=_checked(domain, str),
+        region=_checked(region, str),
+    )
+
+
 def _checked(part: Any, wanted: type[Any]) -> Any:
-    if type(part) is not wanted:
+    if not isinstance(part, wanted) or isinstance(part, bool):
         raise TypeError(f'{type(part).__name__} is not {wanted.__name__}')
     return part
 
--- a/packages/turmericpost-entry/src/turmericpost/peer/service.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/service.py
@@ -17,8 +17,11 @@
 from turmericpost.peer.stream import PeerDialler, PeerStream
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.fold import Configuration
-from turmericpost_core.membership.facts import VmState
-from turmericpost_core.membership.view import MembershipView
+from turmericpost_core.membership.facts import VmFact, VmState
+from turmericpost_core.membership.view import (
+    MembershipSettings,
+    MembershipView,
+)
 
 
 @dataclass(frozen=True)
@@ -73,9 +76,9 @@
                 stream.send(heartbeat)
         self.view.heartbeat_sent()
 
-    def set_own(self, state: VmState, revision: int) -> None:
+    def state_own(self, state: VmState, revision: int) -> None:
         """Change what this VM says of itself and tell it at once."""
-        self.view.set_own(state, revision)
+        self.view.state_own(state, revision)
         self.send_heartbeats()
 
     def close(self) -> None:
@@ -174,5 +177,18 @@
         )
 
 
+def new_peer_service(
+    reactor: Any,
+    clock: Clock,
+    own: VmFact,
+    lost_after_s: float,
+    configurations: ConfigurationExchange,
+    metrics: Metrics,
+) -> PeerService:
+    """Return the service of a VM that knows only itself."""
+    view = MembershipView(own, MembershipSettings(lost_after_s=lost_after_s))
+    return PeerService(reactor, clock, view, configurations, metrics)
+
+
 def _dialled_name(stream: PeerStream) -> str:
     return stream.dialled or ''
--- a/packages/turmericpost-entry/src/turmericpost/peer/stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/stream.py
@@ -75,19 +75,19 @@
         """Close the stream."""
         self.transport.loseConnection()
 
-    def connectionMade(self) -> None:  # noqa: N802
+    def connectionMade(self) -> None:
         """Set up the transport."""
         self.transport.setTcpNoDelay(True)
         self._host.stream_opened(self)
 
-    def connectionLost(  # noqa: N802
+    def connectionLost(
         self,
         reason: Failure = connectionDone,
     ) -> None:
         """Tell the host."""
         self._host.stream_closed(self)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802, WPS110
+    def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         """Decode messages; a malformed one ends the stream."""
         self._host.bytes_received(len(data))
         try:
@@ -127,7 +127,7 @@
     def __init__(self, host: StreamHost) -> None:
         self._host = host
 
-    def buildProtocol(self, addr: IAddress) -> PeerStream:  # noqa: N802
+    def buildProtocol(self, addr: IAddress) -> PeerStream:
         """Return the protocol of an accepted stream."""
         return PeerStream(self._host, None)
 
@@ -141,11 +141,11 @@
         self._host = host
         self._name = name
 
-    def buildProtocol(self, addr: IAddress) -> PeerStream:  # noqa: N802
+    def buildProtocol(self, addr: IAddress) -> PeerStream:
         """Return the protocol of the opened stream."""
         return PeerStream(self._host, self._name)
 
-    def clientConnectionFailed(  # noqa: N802
+    def clientConnectionFailed(
         self,
         connector: IConnector,
         reason: Failure,
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/clients.py
@@ -0,0 +1,48 @@
+"""All clients of the platform, built from the settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from turmericpost.observe.metrics import Metrics
+from turmericpost.platform.follower import (
+    ConfigurationFollower,
+    ConfigurationListener,
+)
+from turmericpost.platform.http import PlatformHttp
+from turmericpost.platform.log_client import LogClient
+from turmericpost.platform.publisher import Publisher
+from turmericpost.platform.settings import PlatformSettings
+from turmericpost.platform.vm_list import VmListClient
+from turmericpost_core.clock import Clock
+
+
+@dataclass(frozen=True)
+class PlatformClients:
+    """Clients that share one HTTP connection pool."""
+
+    http: PlatformHttp
+    vm_list: VmListClient
+    follower: ConfigurationFollower
+    publisher: Publisher
+
+
+def connect_platform(
+    reactor: Any,
+    settings: PlatformSettings,
+    clock: Clock,
+    metrics: Metrics,
+    on_configuration: ConfigurationListener,
+) -> PlatformClients:
+    """Build the clients; nothing is sent yet."""
+    http = PlatformHttp(reactor, settings.platform_timeout_s, metrics)
+    log = LogClient(http, settings.log_service_url)
+    stream = settings.configuration_stream
+    follower = ConfigurationFollower(reactor, log, stream, on_configuration)
+    return PlatformClients(
+        http=http,
+        vm_list=VmListClient(http, settings.vm_list_url),
+        follower=follower,
+        publisher=Publisher(log, stream, follower, clock),
+    )
--- a/packages/turmericpost-entry/src/turmericpost/run.py
+++ b/packages/turmericpost-entry/src/turmericpost/run.py
@@ -4,12 +4,12 @@
 
 import sys
 
-from turmericpost.commands.command_line import run_command
 from turmericpost.commands.demo import demo
 from turmericpost.commands.serve import serve
 from turmericpost.commands.settings_command import check_settings
-from turmericpost.settings.flags import command_with_flags
-from turmericpost.settings.groups import all_settings
+from turmericpost.settings_groups import all_settings
+from turmericpost_command.command_line import run_command
+from turmericpost_command.settings.flags import command_with_flags
 
 
 def run() -> None:
--- a/packages/turmericpost-entry/src/turmericpost/settings/groups.py
+++ b/packages/turmericpost-entry/src/turmericpost/settings_groups.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any
 
 from result import Err, Ok, Result
@@ -14,9 +15,12 @@
 from turmericpost.observe.settings import LogSettings
 from turmericpost.peer.settings import PeerSettings
 from turmericpost.platform.settings import PlatformSettings
-from turmericpost.settings.declare import DeclaredSetting, declared_settings
-from turmericpost.settings.errors import SettingError, SettingErrorKind
-from turmericpost.settings.resolve import resolve
+from turmericpost_command.settings.declare import (
+    DeclaredSetting,
+    declared_settings,
+)
+from turmericpost_command.settings.errors import SettingError, SettingErrorKind
+from turmericpost_command.settings.resolve import resolve
 
 
 @dataclass(frozen=True)
@@ -31,14 +35,16 @@
     logs: LogSettings
 
 
-_GROUPS: Mapping[str, type[Any]] = {
-    'callers': CallerSettings,
-    'forward': ForwardSettings,
-    'admin': AdminSettings,
-    'peers': PeerSettings,
-    'platform': PlatformSettings,
-    'logs': LogSettings,
-}
+_GROUPS: Mapping[str, type[Any]] = MappingProxyType(
+    {
+        'callers': CallerSettings,
+        'forward': ForwardSettings,
+        'admin': AdminSettings,
+        'peers': PeerSettings,
+        'platform': PlatformSettings,
+        'logs': LogSettings,
+    }
+)
 
 
 def all_settings() -> tuple[DeclaredSetting, ...]:
--- a/packages/turmericpost-standins/src/turmericpost_standins/backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/backend.py
@@ -56,7 +56,7 @@
 class BackendStandIn(Resource):
     """Answers any path; the answer to a POST carries an id of its run."""
 
-    isLeaf = True  # noqa: N815, WPS115
+    isLeaf = True  # noqa: WPS115
 
     def __init__(self, reactor: Any, size: BackendSize, seed: int) -> None:
         super().__init__()
@@ -110,22 +110,32 @@
         self.most_in_flight = max(self.most_in_flight, self._in_flight)
         self._run_number += 1
         request = call.request
-        key = request.getHeader(b'idempotency-key')
+        key = request.getHeader('idempotency-key')
         record = RunRecord(
-            run_id=f'{self._size.name}/{self._incarnation}/{self._run_number}',
+            run_id='/'.join(
+                (
+                    self._size.name,
+                    str(self._incarnation),
+                    str(self._run_number),
+                )
+            ),
             method=request.method.decode('latin-1'),
             path=request.path.decode('latin-1'),
-            operation_key=None if key is None else key.decode('latin-1'),
+            operation_key=key,
         )
         self.runs.append(record)
         call.timer = self._reactor.callLater(
-            self._service_s(),
+            self._service_s(request),
             self._served,
             call,
             record,
         )
 
-    def _service_s(self) -> float:
+    def _service_s(self, request: Request) -> float:
+        """Return a drawn time, or the one that the caller asks for."""
+        asked_ms = request.getHeader('x-service-ms')
+        if asked_ms is not None:
+            return float(asked_ms) / _MS_PER_S
         mean_s = self._size.mean_service_ms / _MS_PER_S * self.faults.slowness
         if self.is_cold and self._in_flight > self._size.cold_slots:
             mean_s *= _COLLAPSE_FACTOR
@@ -138,7 +148,7 @@
             'server': self._size.name,
             'method': record.method,
             'path': record.path,
-            'echo': call.request.getHeader(b'x-echo'),
+            'echo': call.request.getHeader('x-echo'),
             'body_bytes': len(call.body),
         }
         if record.method == 'POST':
@@ -158,7 +168,7 @@
         request.setResponseCode(status)
         request.setHeader(b'content-type', b'application/json')
         request.setHeader(b'content-length', b'%d' % len(encoded))
-        request.setHeader(b'endpoint-load-metrics', b'JSON ' + self._report())
+        request.setHeader(b'endpoint-load-metrics', b'JSON %b' % self._report())
         if self.faults.truncates:
             request.write(encoded[:-1])
             request.channel.loseConnection()
--- /dev/null
+++ b/packages/turmericpost-standins/src/turmericpost_standins/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- a/packages/turmericpost-standins/src/turmericpost_standins/log_service.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/log_service.py
@@ -71,7 +71,7 @@
         """Return a stream, empty at first."""
         return self.streams.setdefault(name, StoredStream())
 
-    def getChild(self, path: bytes, request: Request) -> Resource:  # noqa: N802
+    def getChild(self, path: bytes, request: Request) -> Resource:
         """Return the resource of a stream."""
         if path == b'streams':
             return self
@@ -139,14 +139,14 @@
 class StreamResource(Resource):
     """One stream of the log service."""
 
-    isLeaf = True  # noqa: N815, WPS115
+    isLeaf = True  # noqa: WPS115
 
     def __init__(self, service: LogService, name: str) -> None:
         super().__init__()
         self._service = service
         self._name = name
 
-    def render_GET(self, request: Request) -> int:  # noqa: N802
+    def render_GET(self, request: Request) -> int:
         """Read records."""
         if self._service.faults.is_down:
             request.transport.abortConnection()
@@ -154,7 +154,7 @@
             self._service.read(self._name, request)
         return NOT_DONE_YET
 
-    def render_POST(self, request: Request) -> int:  # noqa: N802
+    def render_POST(self, request: Request) -> int:
         """Append the body as a record."""
         faults = self._service.faults
         if faults.is_down:
--- a/packages/turmericpost-standins/src/turmericpost_standins/vm_list.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/vm_list.py
@@ -36,7 +36,7 @@
         else:
             self._show(vms)
 
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+    def render_GET(self, request: Request) -> bytes:
         """Answer with the list shown now."""
         request.setHeader(b'content-type', b'application/json')
         entries = [
