--- a/packages/turmericpost-core/tests/config/test_decode.py
+++ b/packages/turmericpost-core/tests/config/test_decode.py
@@ -7,8 +7,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from samples import document
 
+from tests.samples import document
 from turmericpost_core.config.decode import (
     DocumentFormat,
     DocumentText,
--- a/packages/turmericpost-core/tests/config/test_fold.py
+++ b/packages/turmericpost-core/tests/config/test_fold.py
@@ -6,8 +6,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from samples import NOW_UTC, backend, document
 
+from tests.samples import NOW_UTC, backend, document
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_core.config.fold import (
     ChangeVerdict,
--- a/packages/turmericpost-core/tests/config/test_local_time.py
+++ b/packages/turmericpost-core/tests/config/test_local_time.py
@@ -5,8 +5,7 @@
 import unittest
 from datetime import UTC, datetime, timedelta
 
-from samples import DOMAINS, document
-
+from tests.samples import DOMAINS, document
 from turmericpost_core.config.document import (
     FailureDomain,
     PlannedDeparture,
--- a/packages/turmericpost-core/tests/routing/test_table.py
+++ b/packages/turmericpost-core/tests/routing/test_table.py
@@ -4,8 +4,7 @@
 
 import unittest
 
-from samples import backend, document
-
+from tests.samples import backend, document
 from turmericpost_core.config.document import (
     Effect,
     RequestSelector,
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -181,7 +181,7 @@
             if silent_s > _LINGER_S:
                 self.abort()
         elif self._head_begun_s is not None:
-            self._check_head_time(now_s)
+            self._check_head(now_s - self._head_begun_s)
         elif self._exchanges:
             self._check_exchange(silent_s)
         elif silent_s > settings.caller_idle_s:
@@ -203,9 +203,8 @@
     def stopProducing(self) -> None:
         """Ignore: the loss of the connection tells the same."""
 
-    def _check_head_time(self, now_s: float) -> None:
-        begun_s = self._head_begun_s or now_s
-        if now_s - begun_s > self._port.settings.caller_silence_s:
+    def _check_head(self, taken_s: float) -> None:
+        if taken_s > self._port.settings.caller_silence_s:
             self._reject(RefusalReason.SLOW_CALLER)
 
     def _check_exchange(self, silent_s: float) -> None:
--- /dev/null
+++ b/packages/turmericpost-entry/tests/forward/test_call.py
@@ -0,0 +1,324 @@
+"""The way of a call: whole answers, truthful outcomes, bounded retries."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.harness import GET, WARM_REPORT, Harness
+from turmericpost.forward.settings import ForwardSettings
+from turmericpost_core.config.document import Limits
+from turmericpost_core.outcome.reasons import RefusalReason, RetryReason
+
+_POST = (
+    b'POST /order HTTP/1.1\r\nHost: pressroom\r\n'
+    b'Turmericpost-Account: mosque\r\nContent-Length: 5\r\n\r\norder'
+)
+
+
+def _outcome(wire: bytes) -> tuple[int, bytes | None, bytes | None]:
+    head = wire.partition(b'\r\n\r\n')[0].split(b'\r\n')
+    fields = dict(line.split(b': ', 1) for line in head[1:])
+    return (
+        int(head[0].split()[1]),
+        fields.get(b'turmericpost-outcome'),
+        fields.get(b'turmericpost-reason'),
+    )
+
+
+class CallTest(unittest.TestCase):
+    def test_a_call_gets_its_whole_answer(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(GET)
+        harness.backend().answer(b'card')
+        wire = caller.received()
+        self.assertEqual(_outcome(wire), (200, b'complete', None))
+        self.assertTrue(wire.endswith(b'\r\n\r\ncard'))
+        self.assertNotIn(b'endpoint-load-metrics', wire)
+        self.assertEqual(harness.metrics.calls_in_flight, 0)
+
+    def test_hop_by_hop_fields_stay_on_their_hop(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(
+            b'GET / HTTP/1.1\r\nHost: pressroom.nile.example\r\n'
+            b'Turmericpost-Account: mosque\r\nConnection: X-Secret\r\n'
+            b'X-Secret: 1\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\n'
+            b'X-Kept: 2\r\nTurmericpost-Depth: 3\r\n'
+            b'Turmericpost-Deadline-Ms: 900\r\n\r\n',
+        )
+        harness.reactor.advance(0.1)
+        backend = harness.backend()
+        sent = backend.received().lower()
+        for dropped in (b'x-secret', b'keep-alive', b'te:', b'connection'):
+            self.assertNotIn(dropped, sent)
+        for kept in (
+            b'x-kept: 2',
+            b'turmericpost-depth: 4',
+            b'turmericpost-deadline-ms: 800',
+            b'via: 1.1 turmericpost',
+        ):
+            self.assertIn(kept, sent)
+        backend.answer(b'', headers=b'Connection: X-Inner\r\nX-Inner: 1\r\n')
+        self.assertNotIn(b'x-inner', caller.received())
+
+    def test_a_truncated_answer_is_a_failure(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(_POST)
+        backend = harness.backend()
+        backend.send(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart')
+        backend.leave()
+        self.assertEqual(
+            _outcome(caller.received()), (502, b'unknown', b'truncated-answer')
+        )
+        refusals = harness.metrics.refusals
+        self.assertEqual(refusals[RefusalReason.TRUNCATED_ANSWER], 1)
+
+    def test_a_long_truncated_answer_breaks_the_connection(self) -> None:
+        harness = Harness(settings=ForwardSettings(hold_bytes=1024))
+        caller = harness.caller()
+        caller.send(_POST)
+        backend = harness.backend()
+        backend.send(b'HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n')
+        backend.send(b'x' * 2000)
+        self.assertIn(b'x' * 2000, caller.received())
+        backend.leave()
+        self.assertTrue(caller.transport.is_aborted)
+        refusals = harness.metrics.refusals
+        self.assertEqual(refusals[RefusalReason.TRUNCATED_ANSWER], 1)
+
+    def test_an_unframed_answer_is_a_failure(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(_POST)
+        harness.backend().send(b'HTTP/1.1 200 OK\r\n\r\npart')
+        self.assertEqual(
+            _outcome(caller.received()), (502, b'unknown', b'unframed-answer')
+        )
+
+    def test_an_idempotent_call_is_sent_again(self) -> None:
+        harness = Harness(backends=2)
+        caller = harness.caller()
+        caller.send(GET)
+        harness.backend().leave()
+        harness.backend().answer(b'second')
+        self.assertTrue(caller.received().endswith(b'second'))
+        retries = harness.metrics.retries
+        self.assertEqual(retries[RetryReason.CONNECTION_LOST], 1)
+
+    def test_a_call_from_a_deeper_level_does_not_repeat_work(self) -> None:
+        harness = Harness(backends=2)
+        caller = harness.caller()
+        deeper = GET.replace(b'\r\n\r\n', b'\r\nTurmericpost-Depth: 1\r\n\r\n')
+        caller.send(deeper)
+        harness.backend().leave()
+        self.assertEqual(
+            _outcome(caller.received()), (502, b'unknown', b'connection-lost')
+        )
+
+    def test_a_post_that_may_have_run_is_not_sent_again(self) -> None:
+        harness = Harness(backends=2)
+        caller = harness.caller()
+        caller.send(_POST)
+        harness.backend().leave()
+        self.assertEqual(
+            _outcome(caller.received()), (502, b'unknown', b'connection-lost')
+        )
+        self.assertEqual(harness.opened(), 0)
+
+    def test_a_post_that_was_shed_goes_elsewhere(self) -> None:
+        harness = Harness(backends=2)
+        caller = harness.caller()
+        caller.send(_POST)
+        harness.backend().shed()
+        second = harness.backend()
+        self.assertTrue(second.received().endswith(b'order'))
+        second.answer(b'done')
+        self.assertEqual(_outcome(caller.received()), (200, b'complete', None))
+
+    def test_a_post_nobody_takes_was_not_run(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(_POST)
+        for _ in range(3):
+            harness.refuse_connection()
+            harness.reactor.pump([0.01] * 50)
+        self.assertEqual(
+            _outcome(caller.received()), (502, b'not-run', b'connect-failed')
+        )
+
+    def test_an_empty_budget_ends_the_retries(self) -> None:
+        limits = Limits(retry_ratio=0, retry_burst=1)
+        harness = Harness(backends=3, limits=limits)
+        caller = harness.caller()
+        caller.send(GET)
+        harness.backend().leave()
+        harness.backend().leave()
+        self.assertEqual(_outcome(caller.received())[0], 502)
+        self.assertEqual(harness.metrics.retries.total(), 1)
+
+    def test_the_deadline_cancels_the_work(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        deadline = b'\r\nTurmericpost-Deadline-Ms: 300\r\n\r\n'
+        caller.send(GET.replace(b'\r\n\r\n', deadline))
+        backend = harness.backend()
+        harness.reactor.advance(0.299)
+        self.assertEqual(caller.received(), b'')
+        harness.reactor.advance(0.002)
+        self.assertEqual(
+            _outcome(caller.received()),
+            (504, b'unknown', b'deadline-exceeded'),
+        )
+        self.assertTrue(backend.transport.is_aborted)
+
+    def test_a_caller_who_leaves_cancels_the_work(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(GET)
+        backend = harness.backend()
+        caller.leave()
+        self.assertTrue(backend.transport.is_aborted)
+        refusals = harness.metrics.refusals
+        self.assertEqual(refusals[RefusalReason.CALLER_GONE], 1)
+        self.assertEqual(harness.metrics.calls_in_flight, 0)
+
+    def test_a_cold_server_gets_one_call_and_the_rest_wait(self) -> None:
+        harness = Harness()
+        callers = [harness.caller() for _ in range(3)]
+        for caller in callers:
+            caller.send(GET)
+        self.assertEqual(harness.opened(), 1)
+        backend = harness.backend()
+        for caller in callers:
+            backend.answer(b'one')
+            self.assertEqual(_outcome(caller.received())[0], 200)
+
+    def test_a_full_queue_refuses_early_and_truthfully(self) -> None:
+        harness = Harness()
+        callers = [harness.caller() for _ in range(5)]
+        for caller in callers:
+            caller.send(_POST)
+        self.assertEqual(
+            _outcome(callers[-1].received()), (503, b'not-run', b'queue-full')
+        )
+
+    def test_a_late_answer_reaches_nobody_else(self) -> None:
+        harness = Harness()
+        first = harness.caller()
+        first.send(GET)
+        backend = harness.backend()
+        backend.answer(b'own')
+        first.received()
+        backend.answer(b'stray')
+        self.assertTrue(backend.transport.is_aborted)
+        second = harness.caller()
+        second.send(GET)
+        self.assertEqual(second.received(), b'')
+        harness.backend().answer(b'fresh')
+        self.assertTrue(second.received().endswith(b'fresh'))
+
+    def test_two_answers_in_one_packet_are_told_apart(self) -> None:
+        harness = Harness()
+        callers = [harness.caller() for _ in range(2)]
+        for caller in callers:
+            caller.send(GET)
+        one = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n'
+        backend = harness.backend()
+        backend.send(b'%ba%bb' % (one, one))
+        self.assertTrue(callers[0].received().endswith(b'a'))
+        self.assertEqual(callers[1].received(), b'')
+
+    def test_head_answers_keep_their_length_and_the_connection(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(GET.replace(b'GET', b'HEAD'))
+        backend = harness.backend()
+        backend.send(b'HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n')
+        wire = caller.received()
+        self.assertIn(b'content-length: 77', wire)
+        self.assertTrue(wire.endswith(b'\r\n\r\n'))
+        caller.send(GET)
+        backend.answer(b'next')
+        self.assertTrue(caller.received().endswith(b'next'))
+
+    def test_a_failing_status_is_unknown_and_passed_on(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(_POST)
+        harness.backend().answer(b'oops', b'500 Internal Server Error')
+        wire = caller.received()
+        self.assertEqual(_outcome(wire)[:2], (500, b'unknown'))
+        self.assertTrue(wire.endswith(b'oops'))
+
+
+class StreamingTest(unittest.TestCase):
+    def test_a_slow_caller_holds_the_back_end_up(self) -> None:
+        harness = Harness(settings=ForwardSettings(hold_bytes=1024))
+        caller = harness.caller()
+        caller.send(GET)
+        backend = harness.backend()
+        backend.send(b'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n')
+        backend.send(b'x' * 2000)
+        caller.protocol.pauseProducing()
+        self.assertTrue(backend.transport.is_paused)
+        caller.protocol.resumeProducing()
+        self.assertFalse(backend.transport.is_paused)
+
+    def test_a_slow_back_end_holds_the_caller_up(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(_POST.replace(b'Length: 5', b'Length: 90000'))
+        backend = harness.backend()
+        backend.connection.pauseProducing()
+        self.assertTrue(caller.transport.is_paused)
+        backend.connection.resumeProducing()
+        self.assertFalse(caller.transport.is_paused)
+
+    def test_a_body_that_waits_is_bounded(self) -> None:
+        settings = ForwardSettings(
+            hold_bytes=1024, replay_bytes=1024, chunk_buffer_bytes=4096
+        )
+        harness = Harness(settings=settings)
+        caller = harness.caller()
+        caller.send(_POST.replace(b'Length: 5', b'Length: 90000'))
+        caller.send(b'x' * 5000)
+        self.assertTrue(caller.transport.is_paused)
+        backend = harness.backend()
+        self.assertFalse(caller.transport.is_paused)
+        self.assertTrue(backend.received().endswith(b'order' + b'x' * 5000))
+        caller.send(b'y' * 100)
+        self.assertEqual(backend.received(), b'y' * 100)
+
+    def test_chunked_bodies_stay_chunked_in_both_directions(self) -> None:
+        harness = Harness(settings=ForwardSettings(hold_bytes=1024))
+        caller = harness.caller()
+        chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+        caller.send(_POST.partition(b'Content-Length')[0] + chunked)
+        backend = harness.backend()
+        caller.send(b'3\r\nabc\r\n')
+        caller.send(b'0\r\n\r\n')
+        self.assertTrue(backend.received().endswith(b'3\r\nabc\r\n0\r\n\r\n'))
+        backend.send(b'HTTP/1.1 200 OK\r\n' + WARM_REPORT + chunked)
+        backend.send(b'7d0\r\n%b\r\n' % (b'x' * 2000))
+        backend.send(b'0\r\n\r\n')
+        wire = caller.received()
+        self.assertIn(b'transfer-encoding: chunked', wire)
+        self.assertTrue(wire.endswith(b'\r\n0\r\n\r\n'))
+
+    def test_an_unfinished_answer_is_held_only_for_a_while(self) -> None:
+        harness = Harness()
+        caller = harness.caller()
+        caller.send(GET)
+        backend = harness.backend()
+        backend.send(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nearly')
+        self.assertEqual(caller.received(), b'')
+        harness.reactor.advance(0.06)
+        self.assertTrue(caller.received().endswith(b'early'))
+        backend.send(b'late')
+        self.assertEqual(caller.received(), b'late')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -0,0 +1,228 @@
+"""An entry VM's call path on a fake clock and in-memory transports."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from random import Random
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from turmericpost.forward.attempt import AttemptTools
+from turmericpost.forward.forwarder import Forwarder
+from turmericpost.forward.pool import ConnectionPool
+from turmericpost.forward.settings import ForwardSettings
+from turmericpost.http1.client import BackendConnection
+from turmericpost.http1.exchange import Exchange
+from turmericpost.http1.server import CallerPort
+from turmericpost.http1.settings import CallerSettings
+from turmericpost.observe.metrics import Metrics
+from turmericpost_core.config.document import (
+    BackendServer,
+    ClientAccount,
+    Document,
+    FailureDomain,
+    Limits,
+    Service,
+)
+from turmericpost_core.outcome.reasons import RefusalReason
+from turmericpost_core.routing.balancer import Balancer
+from turmericpost_core.routing.facts import Location
+from turmericpost_core.routing.table import RoutingTable
+
+WARM_REPORT = (
+    b'endpoint-load-metrics: JSON {"named_metrics": '
+    b'{"slots": 3, "in_flight": 0, "state": 1, "incarnation": 1}}\r\n'
+)
+GET = (
+    b'GET /item HTTP/1.1\r\nHost: pressroom\r\n'
+    b'Turmericpost-Account: mosque\r\n\r\n'
+)
+
+
+class FakeTransport(StringTransport):
+    """Transport that records how it is paused and closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: FBT001
+        """Take the option."""
+
+    def abortConnection(self) -> None:
+        """Record the abort."""
+        self.is_aborted = True
+        super().abortConnection()
+
+    def loseWriteConnection(self) -> None:
+        """Record the close of one direction."""
+        self.disconnecting = True
+
+    def resumeProducing(self) -> None:
+        """Go on, whatever the state."""
+        self.producerState = 'producing'
+
+    def pauseProducing(self) -> None:
+        """Stop, whatever the state."""
+        self.producerState = 'paused'
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading is paused."""
+        return self.producerState == 'paused'
+
+
+class Caller:
+    """A caller connection."""
+
+    def __init__(self, port: CallerPort) -> None:
+        self.transport = FakeTransport()
+        self.protocol = port.buildProtocol(IPv4Address('TCP', '10.1.0.1', 9))
+        self.protocol.makeConnection(self.transport)
+
+    def send(self, wire: bytes) -> None:
+        """Send bytes to the entry VM."""
+        self.protocol.dataReceived(wire)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def received(self) -> bytes:
+        """Return and forget what the entry VM sent."""
+        wire: bytes = self.transport.value()
+        self.transport.clear()
+        return wire
+
+
+class Backend:
+    """The far end of a connection to a backend server."""
+
+    def __init__(self, connection: BackendConnection) -> None:
+        self.connection = connection
+        self.transport = FakeTransport()
+        connection.makeConnection(self.transport)
+
+    def received(self) -> bytes:
+        """Return and forget what the entry VM sent."""
+        wire: bytes = self.transport.value()
+        self.transport.clear()
+        return wire
+
+    def send(self, wire: bytes) -> None:
+        """Send bytes to the entry VM."""
+        self.connection.dataReceived(wire)
+
+    def answer(
+        self,
+        body: bytes,
+        status: bytes = b'200 OK',
+        headers: bytes = WARM_REPORT,
+    ) -> None:
+        """Send a whole answer."""
+        length = b'Content-Length: %d\r\n' % len(body)
+        head = b'HTTP/1.1 %b\r\n%b%b\r\n' % (status, headers, length)
+        self.send(head + body)
+
+    def shed(self) -> None:
+        """Say that the call was not run."""
+        marker = b'Turmericpost-Outcome: not-run\r\n'
+        self.answer(b'', b'503 Service Unavailable', marker)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
+
+class FakeClock:
+    """Clock of the memory reactor."""
+
+    def __init__(self, reactor: MemoryReactorClock) -> None:
+        self._reactor = reactor
+
+    def monotonic_s(self) -> float:
+        """Return the reactor's seconds."""
+        return float(self._reactor.seconds())
+
+    def utc_now(self) -> datetime:
+        """Return the reactor's time as a wall clock."""
+        return datetime.fromtimestamp(self.monotonic_s(), UTC)
+
+
+class Harness:
+    """Call path of one entry VM with ``backends`` backend servers."""
+
+    def __init__(
+        self,
+        backends: int = 1,
+        limits: Limits | None = None,
+        settings: ForwardSettings | None = None,
+        **callers: Any,
+    ) -> None:
+        self.reactor = MemoryReactorClock()
+        self.clock = FakeClock(self.reactor)
+        self.metrics = Metrics()
+        self.balancer = Balancer(Random(1))
+        forward = settings or ForwardSettings()
+        pool = ConnectionPool(self.reactor, 1, forward.idle_connections)
+        tools = AttemptTools(self.clock, self.balancer, pool, self.metrics)
+        self.forwarder = Forwarder(
+            self.reactor, forward, tools, self._well_known
+        )
+        self.port = CallerPort(
+            self.forwarder.begin,
+            CallerSettings(**callers),
+            self.clock,
+            self._refused,
+        )
+        self.install(backends, limits)
+        self._taken = 0
+
+    def install(self, backends: int, limits: Limits | None = None) -> None:
+        """Put a document in force."""
+        document = Document(
+            failure_domains=(FailureDomain('cairo-a', 'cairo'),),
+            services=(Service('pressroom', slots=3, queue_per_slot=1),),
+            backend_servers=tuple(
+                BackendServer('10.0.0.1', port, 'pressroom', 'cairo-a')
+                for port in range(1, backends + 1)
+            ),
+            client_accounts=(ClientAccount('mosque'),),
+            limits=limits or Limits(),
+        )
+        location = Location('cairo-a', 'cairo')
+        self.forwarder.install(RoutingTable(document, location, frozenset()))
+
+    def caller(self) -> Caller:
+        """Open a caller connection."""
+        return Caller(self.port)
+
+    def backend(self) -> Backend:
+        """Accept the next connection to a backend server."""
+        factory = self._next_connection()
+        return Backend(factory.buildProtocol(None))
+
+    def refuse_connection(self) -> None:
+        """Refuse the next connection to a backend server."""
+        self._next_connection().clientConnectionFailed(
+            None, Failure(ConnectionDone())
+        )
+
+    def opened(self) -> int:
+        """Return how many connections wait to be accepted."""
+        return len(self.reactor.tcpClients) - self._taken
+
+    def _next_connection(self) -> Any:
+        host, port, factory, *_ = self.reactor.tcpClients[self._taken]
+        self._taken += 1
+        return factory
+
+    def _refused(self, reason: RefusalReason) -> None:
+        self.metrics.refusals[reason] += 1
+
+    def _well_known(self, exchange: Exchange) -> None:
+        exchange.send_bodiless(204, [])
--- a/tools/check.py
+++ b/tools/check.py
@@ -55,7 +55,8 @@
     yield Step('types', ('-m', 'mypy', *sources))
     for tests in sorted(PACKAGES.glob('*/tests')):
         name = ' '.join(('tests of', tests.parent.name))
-        yield Step(name, ('-m', 'unittest', 'discover', '-t', '.'), tests)
+        discover = ('-m', 'unittest', 'discover', '-s', 'tests', '-t', '.')
+        yield Step(name, discover, tests.parent)
 
 
 def run_step(step: Step) -> StepEnd:
