Write the pages and make heartbeats smaller

Change: a greeting names the sender once, heartbeats carry numbers only, one old fact every fifth; the list is read within a byte budget. Pages, generated references, example documents, experiments with processes. Conclusion: bytes no longer grow with the number of VMs, but for the list.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/view.py
@@ -19,6 +19,7 @@
 from turmericpost_core.membership.ring import ring_successors
 
 _MIN_REPEATS = 4
+_BEATS_PER_REFRESH = 5
 
 
 @dataclass(frozen=True)
@@ -197,10 +198,11 @@
         return False
 
     def _refreshed(self) -> tuple[VmFact, ...]:
+        rounds, rest = divmod(self._next_refresh, _BEATS_PER_REFRESH)
         names = sorted(self._facts.keys() - self._repeats.keys())
-        if not names:
+        if rest or not names:
             return ()
-        return (self._facts[names[self._next_refresh % len(names)]],)
+        return (self._facts[names[rounds % len(names)]],)
 
     def _forget(self, now_s: float) -> None:
         for name, lost_s in tuple(self._lost_at_s.items()):
--- a/packages/turmericpost-entry/src/turmericpost/admin/views.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/views.py
@@ -50,6 +50,11 @@
         'entry_vms': [_vm_view(fact) for fact in state.known_vms()],
         'failure_domains_out': sorted(table.domains_out) if table else [],
         'backend_servers': [_backend_view(state, one) for one in backends],
+        'control_bytes': {
+            'peers_sent': state.metrics.peer_bytes_sent,
+            'peers_received': state.metrics.peer_bytes_received,
+            'platform': state.metrics.platform_bytes,
+        },
         'refusals': {
             reason.value: count
             for reason, count in state.metrics.refusals.items()
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -51,6 +51,7 @@
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self._is_stopping = False
+        self._is_closed = False
         self._platform = connect_platform(
             reactor,
             settings.platform,
@@ -72,13 +73,14 @@
         self._start_peers()
         for interval_s, step in (
             (_SWEEP_S, self._sweep),
-            (self._settings.platform.vm_list_interval_s, self._read_list),
             (self._settings.peers.heartbeat_interval_s, self.peers.beat),
         ):
             loop = LoopingCall(step)
             loop.clock = self._reactor
             loop.start(interval_s).addErrback(log_failure)
             self._loops.append(loop)
+        listing = Deferred.fromCoroutine(self._follow_list())
+        listing.addErrback(log_failure)
         following = Deferred.fromCoroutine(self._platform.follower.run())
         following.addErrback(log_failure)
 
@@ -256,14 +258,24 @@
         if change_utc is not None and self.clock.utc_now() >= change_utc:
             self._install(self.configuration)
 
-    async def _read_list(self) -> None:
+    async def _follow_list(self) -> None:
+        """Read the list; a long one less often, within its byte budget."""
+        platform = self._settings.platform
+        while not self._is_closed:
+            size_bytes = await self._read_list()
+            pause_s = size_bytes / platform.vm_list_bytes_per_s
+            pause_s = max(pause_s, platform.vm_list_interval_s)
+            await deferLater(self._reactor, pause_s)
+
+    async def _read_list(self) -> int:
         listed = await self._platform.vm_list.read()
-        if listed.is_ok():
-            vms = listed.unwrap()
-            self.peers.view.record_list(vms.listed, vms.leaving)
-        else:
+        if listed.is_err():
             detail = listed.unwrap_err().detail
             log_event(LogEvent.LIST_UNREACHABLE, detail=detail)
+            return 0
+        vms = listed.unwrap()
+        self.peers.view.record_list(vms.listed, vms.leaving)
+        return vms.size_bytes
 
     def _answers_valid_s(self) -> float:
         table = self.forwarder.table
@@ -281,6 +293,7 @@
             await deferLater(self._reactor, _DRAIN_CHECK_S)
 
     async def _close_rest(self) -> None:
+        self._is_closed = True
         self._platform.follower.stop()
         for loop in self._loops:
             if loop.running:
--- a/packages/turmericpost-entry/src/turmericpost/peer/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/messages.py
@@ -20,14 +20,36 @@
 _HEARTBEAT = 1
 _CONFIGURATION_REQUEST = 2
 _CONFIGURATION_REPLY = 3
+_GREETING = 4
+
+
+@dataclass(frozen=True)
+class Greeting:
+    """All that a VM knows, first on a stream; the first fact is its own."""
+
+    facts: tuple[VmFact, ...]
 
 
 @dataclass(frozen=True)
 class Heartbeat:
-    """Facts that a VM passes on; the first one is about itself."""
+    """What changes of the sender, and facts about others it passes on."""
 
+    incarnation: int
+    refutation: int
+    state: VmState
+    revision: int
     facts: tuple[VmFact, ...]
 
+    def sender(self, identity: VmIdentity) -> VmFact:
+        """Return the fact about the sender, whose greeting named it."""
+        return VmFact(
+            identity,
+            self.incarnation,
+            self.refutation,
+            self.state,
+            self.revision,
+        )
+
 
 @dataclass(frozen=True)
 class ConfigurationRequest:
@@ -43,7 +65,9 @@
     configuration: Configuration
 
 
-PeerMessage: TypeAlias = Heartbeat | ConfigurationRequest | ConfigurationReply
+PeerMessage: TypeAlias = (
+    Greeting | Heartbeat | ConfigurationRequest | ConfigurationReply
+)
 
 
 @dataclass(frozen=True)
@@ -58,9 +82,11 @@
 
 def encode_message(message: PeerMessage) -> bytes:
     """Return the bytes of a message."""
-    if isinstance(message, Heartbeat):
+    if isinstance(message, Greeting):
         facts = [_packed_fact(fact) for fact in message.facts]
-        return _pack([_HEARTBEAT, facts])
+        return _pack([_GREETING, facts])
+    if isinstance(message, Heartbeat):
+        return _pack([_HEARTBEAT, _packed_heartbeat(message)])
     if isinstance(message, ConfigurationRequest):
         return _pack([_CONFIGURATION_REQUEST, message.revision])
     dumped = _CONFIGURATION.dump_json(message.configuration)
@@ -84,11 +110,13 @@
 
 def _message(unpacked: Any) -> PeerMessage:
     kind, payload = unpacked
-    if kind == _HEARTBEAT:
+    if kind == _GREETING:
         facts = tuple(_unpacked_fact(fact) for fact in payload)
         if not facts:
             raise ValueError(kind)
-        return Heartbeat(facts)
+        return Greeting(facts)
+    if kind == _HEARTBEAT:
+        return _unpacked_heartbeat(payload)
     if kind == _CONFIGURATION_REQUEST:
         return ConfigurationRequest(_checked(payload, int))
     if kind == _CONFIGURATION_REPLY:
@@ -113,6 +141,27 @@
     ]
 
 
+def _packed_heartbeat(heartbeat: Heartbeat) -> list[Any]:
+    return [
+        heartbeat.incarnation,
+        heartbeat.refutation,
+        heartbeat.state.value,
+        heartbeat.revision,
+        [_packed_fact(fact) for fact in heartbeat.facts],
+    ]
+
+
+def _unpacked_heartbeat(packed: Any) -> Heartbeat:
+    incarnation, refutation, state, revision, facts = packed
+    return Heartbeat(
+        incarnation=_checked(incarnation, int),
+        refutation=_checked(refutation, int),
+        state=VmState(_checked(state, int)),
+        revision=_checked(revision, int),
+        facts=tuple(_unpacked_fact(fact) for fact in facts),
+    )
+
+
 def _unpacked_fact(packed: Any) -> VmFact:
     identity, incarnation, refutation, state, revision = packed
     return VmFact(
--- a/packages/turmericpost-entry/src/turmericpost/peer/service.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/service.py
@@ -11,6 +11,7 @@
 from turmericpost.peer.messages import (
     ConfigurationReply,
     ConfigurationRequest,
+    Greeting,
     Heartbeat,
     PeerMessage,
 )
@@ -67,7 +68,14 @@
 
     def send_heartbeats(self) -> None:
         """Send one heartbeat to every VM a stream leads to."""
-        heartbeat = Heartbeat(self.view.next_facts())
+        own, *facts = self.view.next_facts()
+        heartbeat = Heartbeat(
+            own.incarnation,
+            own.refutation,
+            own.state,
+            own.revision,
+            tuple(facts),
+        )
         told: set[str | None] = set()
         for stream in tuple(self._streams):
             name = stream.remote_name
@@ -91,7 +99,7 @@
         self._streams.add(stream)
         if stream.dialled is not None:
             self._dialling.discard(stream.dialled)
-        stream.send(Heartbeat(self.view.all_facts()))
+        stream.send(Greeting(self.view.all_facts()))
 
     def stream_closed(self, stream: PeerStream) -> None:
         """Forget the stream."""
@@ -107,7 +115,9 @@
         message: PeerMessage,
     ) -> None:
         """Act on a message of a peer."""
-        if isinstance(message, Heartbeat):
+        if isinstance(message, Greeting):
+            self._facts_received(stream, message.facts)
+        elif isinstance(message, Heartbeat):
             self._heartbeat_received(stream, message)
         elif isinstance(message, ConfigurationRequest):
             current = self._configurations.current()
@@ -129,10 +139,19 @@
         stream: PeerStream,
         heartbeat: Heartbeat,
     ) -> None:
-        sender = heartbeat.facts[0]
+        if stream.remote is not None:
+            sender = heartbeat.sender(stream.remote)
+            self._facts_received(stream, (sender, *heartbeat.facts))
+
+    def _facts_received(
+        self,
+        stream: PeerStream,
+        facts: tuple[VmFact, ...],
+    ) -> None:
+        sender = facts[0]
         changed = self.view.record_heartbeat(
             sender.identity.name,
-            heartbeat.facts,
+            facts,
             self._clock.monotonic_s(),
         )
         current = self._configurations.current()
--- a/packages/turmericpost-entry/src/turmericpost/peer/stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/stream.py
@@ -16,7 +16,7 @@
 
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.peer.messages import (
-    Heartbeat,
+    Greeting,
     PeerMessage,
     decode_message,
     encode_message,
@@ -105,9 +105,11 @@
             self._take(decoded.unwrap())
 
     def _take(self, message: PeerMessage) -> None:
-        if isinstance(message, Heartbeat):
+        if isinstance(message, Greeting):
             self.remote = message.facts[0].identity
-        if self.remote is not None:
+        if self.remote is None:
+            self._reject('no greeting')
+        else:
             self._host.message_received(self, message)
 
     def _reject(self, detail: str) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/platform/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/settings.py
@@ -27,6 +27,12 @@
         default=1,
         bounds=Bounds(0.1, 3600),
     )
+    vm_list_bytes_per_s: float = setting(
+        'bytes a second spent on reading the VM list; a long list is read '
+        'less often',
+        default=500,
+        bounds=Bounds(10, 1000000),
+    )
     platform_timeout_s: float = setting(
         'longest time to wait for an answer of the platform',
         default=3,
--- a/packages/turmericpost-entry/src/turmericpost/platform/vm_list.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/vm_list.py
@@ -14,10 +14,14 @@
 
 @dataclass(frozen=True)
 class ListedVms:
-    """Addresses on the list; ``leaving`` is a part of ``listed``."""
+    """Addresses on the list; ``leaving`` is a part of ``listed``.
+
+    ``size_bytes`` is the size of the list as it was sent.
+    """
 
     listed: frozenset[str]
     leaving: frozenset[str]
+    size_bytes: int
 
 
 @dataclass(frozen=True)
@@ -43,12 +47,13 @@
         if answer.status != HTTPStatus.OK:
             return Err(VmListError(f'status {answer.status}'))
         try:
-            return Ok(_listed(json.loads(answer.body)))
+            return Ok(_listed(answer.body))
         except (KeyError, TypeError, ValueError) as error:
             return Err(VmListError(f'list not readable: {error}'))
 
 
-def _listed(decoded: Any) -> ListedVms:
+def _listed(body: bytes) -> ListedVms:
+    decoded: Any = json.loads(body)
     states = {str(one['address']): one['state'] for one in decoded}
     leaving = (name for name, state in states.items() if state == 'leaving')
-    return ListedVms(frozenset(states), frozenset(leaving))
+    return ListedVms(frozenset(states), frozenset(leaving), len(body))
--- a/packages/turmericpost-entry/tests/forward/test_call.py
+++ b/packages/turmericpost-entry/tests/forward/test_call.py
@@ -229,6 +229,7 @@
         backend.send(b'%ba%bb' % (one, one))
         self.assertTrue(callers[0].received().endswith(b'a'))
         self.assertEqual(callers[1].received(), b'')
+        self.assertFalse(backend.connection.is_usable)
 
     def test_head_answers_keep_their_length_and_the_connection(self) -> None:
         harness = Harness()
--- /dev/null
+++ b/packages/turmericpost-entry/tests/peer/test_messages.py
@@ -0,0 +1,54 @@
+"""Messages between entry VMs: a round trip, or one typed error."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.harness import vm_fact
+from turmericpost.peer.messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Greeting,
+    Heartbeat,
+    decode_message,
+    encode_message,
+)
+from turmericpost_core.config.fold import Configuration
+from turmericpost_core.membership.facts import VmState
+
+_ANY = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.binary(),
+    lambda inner: st.lists(inner, max_size=6),
+)
+
+
+class MessagesTest(unittest.TestCase):
+    def test_messages_survive_the_stream(self) -> None:
+        facts = (vm_fact(1), vm_fact(2))
+        for message in (
+            Greeting(facts),
+            Heartbeat(5, 1, VmState.LEAVING, 7, facts),
+            ConfigurationRequest(3),
+            ConfigurationReply(Configuration(revision=2)),
+        ):
+            unpacked = msgpack.unpackb(encode_message(message))
+            self.assertEqual(decode_message(unpacked).unwrap(), message)
+
+    def test_a_heartbeat_without_news_is_small(self) -> None:
+        heartbeat = Heartbeat(2**41, 0, VmState.LIVE, 2**20, ())
+        self.assertLess(len(encode_message(heartbeat)), 32)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(_ANY | st.tuples(st.integers(0, 5), _ANY).map(list))
+    def test_anything_else_is_a_typed_error(self, unpacked: object) -> None:
+        decoded = decode_message(unpacked)
+        if decoded.is_err():
+            self.assertTrue(decoded.unwrap_err().detail)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/turmericpost-entry/tests/test_entry_processes.py
+++ b/packages/turmericpost-entry/tests/test_entry_processes.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from http.client import HTTPException
 
-from tests.processes import Cluster, wait_until
+from turmericpost_standins.experiment.processes import Cluster, wait_until
 
 
 class EntryProcessesTest(unittest.TestCase):
--- a/packages/turmericpost-standins/src/turmericpost_standins/__main__.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/__main__.py
@@ -6,8 +6,18 @@
 
 import defopt
 
-from turmericpost_standins.commands import drive_load, stand_ins
+from turmericpost_standins.commands import (
+    baseline_relay,
+    drive_load,
+    measure,
+    stand_ins,
+)
 
 if __name__ == '__main__':
-    functions = {'load': drive_load, 'stand-ins': stand_ins}
+    functions = {
+        'load': drive_load,
+        'stand-ins': stand_ins,
+        'baseline-relay': baseline_relay,
+        'measure': measure,
+    }
     sys.exit(defopt.run(functions, no_negated_flags=True))
--- a/packages/turmericpost-standins/src/turmericpost_standins/commands.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/commands.py
@@ -18,6 +18,12 @@
     deployment_document,
     deployment_named,
 )
+from turmericpost_standins.experiment.baseline_relay import BaselineRelay
+from turmericpost_standins.experiment.measure import (
+    measure_calls,
+    measure_control,
+    measure_memory,
+)
 from turmericpost_standins.load.client import LoadTarget
 from turmericpost_standins.load.results import is_clean, report_lines
 from turmericpost_standins.load.run_load import LoadPlan, run_load
@@ -115,6 +121,46 @@
     return EXIT_OK
 
 
+def baseline_relay(
+    *,
+    port: int,
+    backend_port: int,
+    duration_s: float = 600,
+) -> int:
+    """Run the plain relay that the entry process is compared with.
+
+    :param port: port to listen on
+    :param backend_port: port of the one back end
+    :param duration_s: seconds after which the relay ends by itself
+    """
+    url = f'http://{_LOOPBACK}:{backend_port}'
+    site = Site(BaselineRelay(reactor, url))
+    reactor.listenTCP(port, site, interface=_LOOPBACK)
+    reactor.callLater(duration_s, reactor.stop)
+    signal.signal(signal.SIGTERM, _end)
+    reactor.run()
+    return EXIT_OK
+
+
+def measure(*, what: str = 'calls') -> int:
+    """Measure an entry process on loopback.
+
+    :param what: calls, memory or control
+    """
+    measurements = {
+        'calls': measure_calls,
+        'memory': measure_memory,
+        'control': measure_control,
+    }
+    if what not in measurements:
+        sys.stderr.write(f'--what: {what} is not known\n')
+        return EXIT_USAGE
+    for line in measurements[what]():
+        sys.stdout.write(f'{line}\n')
+        sys.stdout.flush()
+    return EXIT_OK
+
+
 async def _report(
     plan: LoadPlan,
     entry: LoadTarget,
--- /dev/null
+++ b/packages/turmericpost-standins/src/turmericpost_standins/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with processes on loopback; not part of the product."""
--- a/packages/turmericpost-entry/tests/processes.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/experiment/processes.py
@@ -1,4 +1,4 @@
-"""Entry processes and stand-ins on loopback, for focused failure tests."""
+"""Entry processes and stand-ins on loopback, for tests and experiments."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Callable
+from contextlib import closing
 from http.client import HTTPConnection
 from typing import Any
 from urllib.error import HTTPError
@@ -97,6 +98,11 @@
             stderr=subprocess.DEVNULL,
         )
 
+    @property
+    def pid(self) -> int:
+        """Number of the process."""
+        return self.process.pid
+
     def listed(self) -> dict[str, str]:
         """Return the entry of the VM list."""
         return {'address': self.name, 'failure_domain': 'cairo-a'}
@@ -130,12 +136,10 @@
         connection = HTTPConnection(_LOOPBACK, self.caller_port, timeout=20)
         fields = {'Host': 'catalogue', 'Turmericpost-Account': 'funeral-home'}
         fields |= {name.replace('_', '-'): one for name, one in headers.items()}
-        try:
+        with closing(connection):
             connection.request(method, '/item', body, fields)
             answer = connection.getresponse()
             received = answer.read()
-        finally:
-            connection.close()
         names = {name.lower(): text for name, text in answer.getheaders()}
         return answer.status, names, received
 
@@ -155,8 +159,8 @@
 class Cluster:
     """Stand-ins and some entry processes that know each other."""
 
-    def __init__(self, size: int) -> None:
-        self.stand_ins = StandIns()
+    def __init__(self, size: int, deployment: str = 'egypt') -> None:
+        self.stand_ins = StandIns(deployment)
         domains = ('cairo-a', 'cairo-b', 'alexandria-a')
         self.vms = [
             EntryProcess(self.stand_ins.places, domains[index % len(domains)])
--- a/tools/check.py
+++ b/tools/check.py
@@ -51,6 +51,7 @@
     yield Step('format', ('-m', 'ruff', 'format', '--check', *targets))
     yield Step('lint', ('-m', 'ruff', 'check', *targets))
     yield Step('style', ('-m', 'flake8', *targets))
+    yield Step('docs', ('tools/generate_docs.py', '--check'))
     sources = tuple(str(path) for path in sorted(PACKAGES.glob('*/src')))
     yield Step('types', ('-m', 'mypy', *sources))
     for tests in sorted(PACKAGES.glob('*/tests')):
--- /dev/null
+++ b/tools/generate_docs.py
@@ -0,0 +1,145 @@
+"""Write the reference pages and example documents that follow the code.
+
+With ``--check`` nothing is written; exit status 1 means that a page is stale.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import tomli_w
+
+from turmericpost.forward.refusals import refusal_status
+from turmericpost.observe.events import LogEvent
+from turmericpost.settings_groups import all_settings
+from turmericpost_core.config.decode import document_to_mapping
+from turmericpost_core.outcome.reasons import RefusalReason, RetryReason
+from turmericpost_standins.deployments import (
+    EGYPT,
+    QUEBEC,
+    Deployment,
+    deployment_document,
+)
+
+DOCS = Path(__file__).resolve().parent.parent / 'docs'
+
+_REASONS_HEAD = """# Refusal and retry reasons
+
+A refusal carries `Turmericpost-Reason` and is counted in
+`turmericpost_refusals_total{reason}`.
+
+| refusal reason | status |
+|---|---|"""
+
+_FIRST_PORT = 9000
+_PORTS_PER_SERVICE = 100
+
+
+def pages() -> Iterator[tuple[Path, str]]:
+    """Yield each generated page with its text."""
+    yield DOCS / 'reference' / 'settings.md', '\n'.join(_settings())
+    yield DOCS / 'reference' / 'log-events.md', '\n'.join(_events())
+    yield DOCS / 'reference' / 'reasons.md', '\n'.join(_reasons())
+    for deployment in (EGYPT, QUEBEC):
+        name = f'{deployment.name}.toml'
+        yield DOCS / 'examples' / name, _example(deployment)
+
+
+def main() -> int:
+    """Write or check the pages."""
+    is_check = '--check' in sys.argv[1:]
+    stale = 0
+    for path, text in pages():
+        if is_check:
+            stale += _is_stale(path, text)
+        else:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_text(text, encoding='utf-8')
+    return 1 if stale else 0
+
+
+def _is_stale(path: Path, text: str) -> bool:
+    if path.exists() and path.read_text(encoding='utf-8') == text:
+        return False
+    sys.stdout.write(f'{path.name} is stale: run tools/generate_docs.py\n')
+    return True
+
+
+def _settings() -> Iterator[str]:
+    yield '# Settings of the entry process'
+    yield ''
+    yield 'A flag goes before its environment variable, that before the'
+    yield 'default. `turmericpost check-settings` prints what holds.'
+    yield ''
+    yield '| flag | environment variable | type | default | meaning |'
+    yield '|---|---|---|---|---|'
+    for one in all_settings():
+        default = 'required' if one.is_required else one.default
+        bounds = f' ({one.bounds})' if one.bounds else ''
+        yield (
+            f'| `{one.flag}` | `{one.environment_variable}` '
+            f'| {one.type_name}{bounds} | {default} | {one.help_text} |'
+        )
+    yield ''
+
+
+def _events() -> Iterator[str]:
+    yield '# Log events'
+    yield ''
+    yield 'Each line of standard error is one event as a JSON object with'
+    yield '`event`, `name`, `level` and fields of its own.'
+    yield ''
+    yield '| event | name | level | meaning |'
+    yield '|---|---|---|---|'
+    for event in LogEvent:
+        name = event.name.lower().replace('_', '-')
+        level = event.level.value.lower()
+        yield f'| {event.number} | {name} | {level} | {event.meaning} |'
+    yield ''
+
+
+def _reasons() -> Iterator[str]:
+    yield _REASONS_HEAD
+    for reason in RefusalReason:
+        yield f'| {reason.value} | {refusal_status(reason).value} |'
+    yield ''
+    yield 'A call sent again is counted in `turmericpost_retries_total{reason}`:'
+    yield ''
+    for retry in RetryReason:
+        yield f'- {retry.value}'
+    yield ''
+
+
+def _example(deployment: Deployment) -> str:
+    ports = {
+        service.name: [
+            _FIRST_PORT + index * _PORTS_PER_SERVICE + target
+            for target in range(service.targets)
+        ]
+        for index, service in enumerate(deployment.services)
+    }
+    mapping = document_to_mapping(deployment_document(deployment, ports))
+    return tomli_w.dumps(_mapping_without_none(mapping))
+
+
+def _mapping_without_none(mapping: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: _without_none(inner)
+        for name, inner in mapping.items()
+        if inner is not None
+    }
+
+
+def _without_none(part: object) -> object:
+    if isinstance(part, dict):
+        return _mapping_without_none(part)
+    if isinstance(part, list):
+        return [_without_none(inner) for inner in part]
+    return part
+
+
+if __name__ == '__main__':
+    sys.exit(main())
