--- a/packages/turmericpost-core/src/turmericpost_core/limits/backend_load.py
+++ b/packages/turmericpost-core/src/turmericpost_core/limits/backend_load.py
@@ -62,6 +62,8 @@
         self._successes = 0
         self._failures = 0
         self._shunned_until_s = float(0)
+        self._settles_until_s = float(0)
+        self._excess_s = float(0)
 
     @property
     def limit(self) -> int:
@@ -79,17 +81,32 @@
             return True
         return self._successes < WARM_SUCCESSES
 
-    def has_room(self, now_s: float) -> bool:
-        """Return whether one more call may be sent now."""
+    def has_room(self, now_s: float, expected_wait_s: float = 0) -> bool:
+        """Return whether one more call may be sent now.
+
+        ``expected_wait_s`` is how long a call would wait for another server.
+        """
         if self.state is ReportedState.DRAINING:
             return False
         if now_s < self._shunned_until_s:
             return False
+        if now_s < self._settles_until_s:
+            return not (self.is_cold or self.in_flight)
+        if self.is_straggler and expected_wait_s > self._excess_s:
+            return self.in_flight < self.service.slots
         return self.in_flight < self.limit
 
-    def room_at_s(self) -> float:
-        """Return the time from which the server is no longer shunned."""
-        return self._shunned_until_s
+    def compare(self, usual_s: float) -> None:
+        """Judge the latency by what is usual among the service's servers."""
+        self.is_straggler = self.latency_s > STRAGGLER_FACTOR * usual_s
+        self._excess_s = self.latency_s - usual_s
+
+    def settle(self, until_s: float) -> None:
+        """Wait for a former owner to notice that it no longer owns.
+
+        Until then the server gets one call at a time, and none while cold.
+        """
+        self._settles_until_s = until_s
 
     def start(self) -> None:
         """Count a call as sent."""
--- a/packages/turmericpost-core/src/turmericpost_core/limits/waiting.py
+++ b/packages/turmericpost-core/src/turmericpost_core/limits/waiting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Generic, TypeVar
 
 _Call = TypeVar('_Call')
@@ -31,6 +31,19 @@
         self._by_account.setdefault(account, deque()).append(call)
         self._count += 1
 
+    def put_back(
+        self,
+        account: str,
+        call: _Call,
+        waits_from_s: Callable[[_Call], float],
+    ) -> None:
+        """Put a call back behind those that have waited longer."""
+        calls = self._by_account.setdefault(account, deque())
+        begun_s = waits_from_s(call)
+        ahead = sum(waits_from_s(other) <= begun_s for other in calls)
+        calls.insert(ahead, call)
+        self._count += 1
+
     def remove(self, account: str, call: _Call) -> None:
         """Take out a call that no longer waits."""
         calls = self._by_account[account]
@@ -44,6 +57,11 @@
         for account, calls in self._by_account.items():
             yield account, calls[0]
 
+    def newest(self) -> Iterator[_Call]:
+        """Yield the last call of each account."""
+        for calls in self._by_account.values():
+            yield calls[-1]
+
     def calls(self) -> tuple[_Call, ...]:
         """Return every waiting call."""
         return tuple(
--- a/packages/turmericpost-core/src/turmericpost_core/membership/answers.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/answers.py
@@ -3,28 +3,72 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
 
 from turmericpost_core.membership.facts import VmFact
-from turmericpost_core.membership.ring import owners
+from turmericpost_core.routing.ownership import Ownership
+
+
+@dataclass(frozen=True)
+class AnswerRequest:
+    """Who asks for the addresses of which service, and from where.
+
+    ``home_regions`` is ``None`` when nothing binds the caller to regions.
+    """
+
+    service: str
+    home_regions: frozenset[str] | None
+    near_region: str
 
 
 def answer_vms(
-    service: str,
+    request: AnswerRequest,
     live: Iterable[VmFact],
-    home_regions: frozenset[str] | None,
-    near_region: str,
-    count: int,
+    ownership: Ownership,
+    random: Random,
 ) -> tuple[VmFact, ...]:
     """Return the entry VMs a caller should use, the preferred one first.
 
-    VMs outside the home regions never appear. VMs of the answering VM's
-    region are preferred, since its caller reached it there.
+    VMs outside the home regions never appear. The owners of the service in
+    the answering VM's region are preferred, since its caller reached it
+    there; each is first as often as its share of the backend servers.
     """
-    allowed = [
-        fact
+    allowed = {
+        fact.identity.name: fact
         for fact in live
-        if home_regions is None or fact.identity.region in home_regions
-    ]
-    near = [fact for fact in allowed if fact.identity.region == near_region]
-    by_name = {fact.identity.name: fact for fact in near or allowed}
-    return tuple(by_name[name] for name in owners(service, by_name, count))
+        if request.home_regions is None
+        or fact.identity.region in request.home_regions
+    }
+    owners = _owners(request, allowed, ownership)
+    weights = ownership.weights(request.service, owners)
+    return tuple(allowed[name] for name in _shuffled(owners, weights, random))
+
+
+def _owners(
+    request: AnswerRequest,
+    allowed: dict[str, VmFact],
+    ownership: Ownership,
+) -> list[str]:
+    """Return owners in the near region, else in any, else any VM."""
+    regions = sorted({fact.identity.region for fact in allowed.values()})
+    regions.sort(key=request.near_region.__ne__)
+    for region in regions:
+        owners = ownership.service_owners.get((request.service, region), ())
+        known = [name for name in owners if name in allowed]
+        if known:
+            return known
+    return sorted(allowed)
+
+
+def _shuffled(
+    names: list[str],
+    weights: list[int],
+    random: Random,
+) -> list[str]:
+    """Return the names in random order, heavy ones rather in front."""
+    keys = {
+        name: random.random() ** (1 / max(weight, 1))
+        for name, weight in zip(names, weights, strict=True)
+    }
+    return sorted(names, key=keys.__getitem__, reverse=True)
--- a/packages/turmericpost-core/src/turmericpost_core/membership/view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/view.py
@@ -70,6 +70,17 @@
         )
         return tuple(sorted((self.own, *others), key=_name))
 
+    def has_majority(self, region: str) -> bool:
+        """Return whether more VMs of a region are here than lost."""
+        others = [
+            fact.state is VmState.LOST
+            for fact in self._facts.values()
+            if fact.identity.region == region
+        ]
+        lost = sum(others)
+        own = int(self.own.identity.region == region)
+        return own + len(others) - lost > lost
+
     def all_facts(self) -> tuple[VmFact, ...]:
         """Return every fact held, lost VMs included."""
         return (self.own, *self._facts.values())
--- a/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
@@ -28,6 +28,7 @@
     OUTSIDE_HOME_REGIONS = 'outside-home-regions'
     NO_ELIGIBLE_BACKEND = 'no-eligible-backend'
     QUEUE_FULL = 'queue-full'
+    NO_FREE_SLOT = 'no-free-slot'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
     RETRY_BUDGET_EMPTY = 'retry-budget-empty'
     SHED_BY_BACKEND = 'shed-by-backend'
--- a/packages/turmericpost-core/src/turmericpost_core/routing/balancer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/balancer.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from random import Random
 from statistics import median
 
 from turmericpost_core.config.document import BackendServer
 from turmericpost_core.limits.backend_load import (
-    STRAGGLER_FACTOR,
     AttemptResult,
     BackendLoad,
     LoadReport,
@@ -27,6 +26,9 @@
         self._random = random
         self._loads: dict[str, BackendLoad] = {}
         self._finishes = 0
+        self._owned: frozenset[str] = frozenset()
+        self._may_warm_up = True
+        self._usual_s: dict[str, float] = {}
 
     def install(self, table: RoutingTable) -> None:
         """Take the backend servers of a new table; known ones keep state."""
@@ -41,6 +43,30 @@
             loads[backend.address] = load
         self._loads = loads
 
+    def take_over(
+        self,
+        owned: frozenset[str],
+        settles_until_s: float,
+    ) -> None:
+        """Own these addresses from now on; new ones have to settle first."""
+        for address in owned - self._owned:
+            load = self._loads.get(address)
+            if load is not None:
+                load.settle(settles_until_s)
+        self._owned = owned
+
+    def allow_warm_up(self, *, allowed: bool) -> None:
+        """Say whether cold servers may get calls.
+
+        Not in the smaller part of a split view: the other part may own the
+        same servers.
+        """
+        self._may_warm_up = allowed
+
+    def usual_latency_s(self, service: str) -> float:
+        """Return the latency usual among a service's backend servers."""
+        return self._usual_s.get(service, 0)
+
     def load_of(self, address: str) -> BackendLoad | None:
         """Return what is known of a backend server of the table."""
         return self._loads.get(address)
@@ -50,10 +76,13 @@
         backends: Iterable[BackendServer],
         tried: Collection[str],
         now_s: float,
+        expected_wait_s: float = 0,
     ) -> BackendServer | None:
         """Return the backend server with the least expected wait.
 
-        ``None`` means that none has room now. Ties fall at random.
+        ``None`` means that none has room now. Ties fall at random. A
+        straggler gets more than a trickle only when waiting would take
+        longer than it does.
         """
         best = None
         best_score = float('inf')
@@ -61,12 +90,16 @@
             load = self._loads.get(backend.address)
             if load is None or backend.address in tried:
                 continue
-            score = self._score(load, now_s)
+            score = self._score(load, now_s, expected_wait_s)
             if score < best_score:
                 best = backend
                 best_score = score
         return best
 
+    def pick(self, names: Sequence[str], weights: Sequence[int]) -> str:
+        """Return a name at random by weight."""
+        return self._random.choices(names, weights)[0]
+
     def all_leaving(self, backends: Iterable[BackendServer]) -> bool:
         """Return whether no backend server of these takes new work."""
         loads = (self._loads.get(one.address) for one in backends)
@@ -106,8 +139,15 @@
         if load is not None:
             load.record_report(report, now_s)
 
-    def _score(self, load: BackendLoad, now_s: float) -> float:
-        if not load.has_room(now_s):
+    def _score(
+        self,
+        load: BackendLoad,
+        now_s: float,
+        expected_wait_s: float,
+    ) -> float:
+        if not load.has_room(now_s, expected_wait_s):
+            return float('inf')
+        if load.is_cold and not self._may_warm_up:
             return float('inf')
         share = (load.in_flight + self._random.random()) / load.limit
         return share * (1 + load.latency_s)
@@ -120,6 +160,7 @@
         ]
         if len(peers) < _MIN_PEERS:
             return
-        bound_s = STRAGGLER_FACTOR * median(load.latency_s for load in peers)
+        usual_s = median(load.latency_s for load in peers)
+        self._usual_s[service] = usual_s
         for load in peers:
-            load.is_straggler = load.latency_s > bound_s
+            load.compare(usual_s)
--- a/packages/turmericpost-core/tests/membership/test_view.py
+++ b/packages/turmericpost-core/tests/membership/test_view.py
@@ -5,11 +5,13 @@
 import unittest
 from collections import deque
 from dataclasses import replace
+from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from turmericpost_core.membership.answers import answer_vms
+from tests.samples import document
+from turmericpost_core.membership.answers import AnswerRequest, answer_vms
 from turmericpost_core.membership.facts import (
     VmFact,
     VmIdentity,
@@ -21,6 +23,7 @@
     MembershipSettings,
     MembershipView,
 )
+from turmericpost_core.routing.ownership import share_out
 
 _BEAT_S = 0.4
 _SETTINGS = MembershipSettings()
@@ -189,8 +192,17 @@
 
     def test_answers_stay_in_the_home_regions(self) -> None:
         live = [_fact(number) for number in range(8)]
-        bound = answer_vms('s', live, frozenset(('cairo',)), 'alexandria', 3)
-        free = answer_vms('s', live, None, 'alexandria', 3)
+        ownership = share_out(document(), live)
+        home = frozenset(('cairo',))
+        bound, free = (
+            answer_vms(
+                AnswerRequest('pressroom', regions, 'alexandria'),
+                live,
+                ownership,
+                Random(1),
+            )
+            for regions in (home, None)
+        )
         self.assertEqual({one.identity.region for one in bound}, {'cairo'})
         self.assertEqual({one.identity.region for one in free}, {'alexandria'})
 
--- /dev/null
+++ b/packages/turmericpost-core/tests/routing/test_dispatcher.py
@@ -0,0 +1,149 @@
+"""Dispatcher: owners send, others pass on, long waits are offered."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from tests.samples import DOMAINS, backend, document
+from turmericpost_core.config.document import Service
+from turmericpost_core.limits.backend_load import (
+    WARM_SUCCESSES,
+    AttemptResult,
+    LoadReport,
+    ReportedState,
+)
+from turmericpost_core.outcome.reasons import RefusalReason
+from turmericpost_core.routing.balancer import Balancer
+from turmericpost_core.routing.dispatcher import (
+    OFFER_AFTER_S,
+    Dispatcher,
+    PassOn,
+    Refuse,
+    Start,
+    Wait,
+)
+from turmericpost_core.routing.facts import CallFacts, Location
+from turmericpost_core.routing.ownership import Ownership
+from turmericpost_core.routing.table import Route, RoutingTable
+
+
+class _Call:
+    account = 'church'
+    can_be_offered = True
+
+    def __init__(self, route: Route, waits_from_s: float = 0) -> None:
+        self.route = route
+        self.tried: set[str] = set()
+        self.offered: set[str] = set()
+        self.waits_from_s = waits_from_s
+        self.offer_again_s = waits_from_s
+        self.is_offered_here = False
+        self.is_passed_here = False
+
+
+class DispatcherTest(unittest.TestCase):
+    def setUp(self) -> None:
+        few = document(
+            backend(1),
+            backend(2),
+            failure_domains=DOMAINS,
+            services=(Service('pressroom', slots=1, queue_per_slot=4),),
+        )
+        self.table = RoutingTable(
+            few, Location('cairo-a', 'cairo'), frozenset()
+        )
+        facts = CallFacts('pressroom', 'church', 'GET', '/')
+        self.route = self.table.route(facts).unwrap()
+        self.balancer = Balancer(Random(1))
+        self.balancer.install(self.table)
+        self.dispatcher: Dispatcher[_Call] = Dispatcher('me', self.balancer)
+        self.dispatcher.install(self.table)
+        self._own('me', 'other')
+
+    def _own(self, first: str, second: str) -> None:
+        owners = {'10.0.0.1:1': first, '10.0.0.1:2': second}
+        self.dispatcher.own(Ownership(owners, {}, {}))
+
+    def _warm(self, address: str = '10.0.0.1:1') -> None:
+        report = LoadReport(1, 0, ReportedState.WARM, 1)
+        self.balancer.record_report(address, report, 0)
+        load = self.balancer.load_of(address)
+        for _ in range(WARM_SUCCESSES):
+            if load is not None:
+                load.start()
+                load.finish(AttemptResult.SUCCESS, 0.012, 0)
+
+    def _busy(self) -> None:
+        self.balancer.start('10.0.0.1:1')
+
+    def test_only_owned_servers_get_calls(self) -> None:
+        placed = self.dispatcher.place(_Call(self.route), 0)
+        self.assertEqual(placed, Start(self.route.backends[0]))
+        self._own('other', 'other')
+        placed = self.dispatcher.place(_Call(self.route), 0)
+        self.assertEqual(placed, PassOn('other'))
+
+    def test_a_passed_call_is_not_passed_again(self) -> None:
+        self._own('other', 'other')
+        call = _Call(self.route)
+        call.is_passed_here = True
+        self.assertEqual(
+            self.dispatcher.place(call, 0),
+            Refuse(RefusalReason.NO_FREE_SLOT),
+        )
+
+    def test_an_offered_call_does_not_wait(self) -> None:
+        self._busy()
+        call = _Call(self.route)
+        self.assertEqual(self.dispatcher.place(call, 0), Wait())
+        call.is_offered_here = True
+        self.assertEqual(
+            self.dispatcher.place(call, 0),
+            Refuse(RefusalReason.NO_FREE_SLOT),
+        )
+
+    def test_long_waits_are_offered_and_the_next_turn_stays(self) -> None:
+        self._warm()
+        self._busy()
+        calls = [_Call(self.route, number / 1000) for number in range(3)]
+        for call in calls:
+            self.dispatcher.wait(call)
+        late_s = OFFER_AFTER_S + 1
+        self.assertIsNone(self.dispatcher.next_offer('pressroom', 0))
+        offered = self.dispatcher.next_offer('pressroom', late_s)
+        self.assertEqual(offered, (calls[0], 'other'))
+        self.dispatcher.stop_waiting(calls[0])
+        calls[0].offered.add('other')
+        self.dispatcher.offer_refused(calls[0], late_s)
+        again = self.dispatcher.next_offer('pressroom', late_s)
+        self.assertEqual(again, (calls[1], 'other'))
+
+    def test_a_call_that_came_back_keeps_its_turn(self) -> None:
+        self._busy()
+        first, second = _Call(self.route, 0), _Call(self.route, 1)
+        self.dispatcher.wait(second)
+        self.dispatcher.offer_refused(first, 2)
+        load = self.balancer.load_of('10.0.0.1:1')
+        self.assertIsNotNone(load)
+        if load is not None:
+            self.balancer.finish(load, AttemptResult.SUCCESS, 0.01, 2)
+        started = self.dispatcher.next_start('pressroom', 2)
+        self.assertIs(started and started[0], first)
+
+    def test_a_new_owner_lets_a_cold_server_settle(self) -> None:
+        self.balancer.take_over(frozenset(('10.0.0.1:1',)), 2)
+        self.assertEqual(self.dispatcher.place(_Call(self.route), 1.9), Wait())
+        placed = self.dispatcher.place(_Call(self.route), 2)
+        self.assertEqual(placed, Start(self.route.backends[0]))
+
+    def test_the_smaller_part_of_a_view_warms_nothing_up(self) -> None:
+        self.balancer.allow_warm_up(allowed=False)
+        self.assertEqual(self.dispatcher.place(_Call(self.route), 0), Wait())
+        self._warm()
+        placed = self.dispatcher.place(_Call(self.route), 0)
+        self.assertIsInstance(placed, Start)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/turmericpost-core/tests/routing/test_ownership.py
@@ -0,0 +1,71 @@
+"""Ownership: shared out evenly, alike in every view, few moves."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.samples import backend, document
+from turmericpost_core.config.document import Limits
+from turmericpost_core.membership.facts import VmFact, VmIdentity
+from turmericpost_core.routing.ownership import share_out
+
+
+def _vm(number: int) -> VmFact:
+    region = 'cairo' if number % 2 else 'alexandria'
+    name = f'10.1.0.{number}:1'
+    return VmFact(VmIdentity(name, 'host', 80, f'{region}-a', region), 1)
+
+
+def _shares(backends: int, owners: int, vms: list[VmFact]) -> dict[str, str]:
+    many = document(
+        *(backend(number) for number in range(1, backends + 1)),
+        limits=Limits(owners_per_service=owners),
+    )
+    return dict(share_out(many, vms).backend_owners)
+
+
+class OwnershipTest(unittest.TestCase):
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.integers(1, 30),
+        st.integers(1, 6),
+        st.lists(st.integers(0, 40), unique=True, min_size=1, max_size=19),
+    )
+    def test_each_backend_server_has_one_owner_and_shares_are_even(
+        self,
+        backends: int,
+        owners: int,
+        numbers: list[int],
+    ) -> None:
+        vms = [_vm(number) for number in numbers]
+        shares = _shares(backends, owners, vms)
+        self.assertEqual(len(shares), backends)
+        self.assertEqual(shares, _shares(backends, owners, vms[::-1]))
+        near = [one for one in numbers if one % 2] or numbers
+        few = min(owners, len(near))
+        most = max(Counter(shares.values()).values())
+        self.assertLessEqual(most, -(-backends // few))
+
+    def test_owners_stand_in_the_region_of_their_servers(self) -> None:
+        vms = [_vm(number) for number in range(8)]
+        shared = share_out(document(), vms)
+        regions = {vm.identity.name: vm.identity.region for vm in vms}
+        for one in document().backend_servers:
+            owner = shared.owner_of(one)
+            there = 'cairo' if one.failure_domain == 'cairo-a' else 'alexandria'
+            self.assertEqual(regions[owner or ''], there)
+
+    def test_a_vm_that_owns_nothing_changes_nothing_by_leaving(self) -> None:
+        vms = [_vm(number) for number in range(1, 39, 2)]
+        before = _shares(13, 4, vms)
+        idle = [vm for vm in vms if vm.identity.name not in before.values()]
+        remaining = [vm for vm in vms if vm is not idle[0]]
+        self.assertEqual(before, _shares(13, 4, remaining))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/turmericpost-ctl/tests/test_commands.py
@@ -0,0 +1,139 @@
+"""Operator command: exit statuses and lines, against a small admin port."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import threading
+import unittest
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from turmericpost_ctl.commands import explain, history, plan, publish, status
+from turmericpost_ctl.exit_status import ExitStatus
+
+_STATUS = {
+    'revision': 3,
+    'failure_domains_out': ['cairo-a'],
+    'entry_vms': [
+        {
+            'name': 'vm-1',
+            'failure_domain': 'cairo-b',
+            'state': 'live',
+            'revision': 3,
+        },
+    ],
+    'backend_servers': [],
+}
+_PLAN = {
+    'departures': [
+        {
+            'failure_domain': 'cairo-a',
+            'time_zone': 'Africa/Cairo',
+            'leaves_local': '2026-12-05T10:00:00',
+            'returns_local': '2026-12-05T12:00:00',
+            'leaves_utc': '2026-12-05T08:00:00+00:00',
+            'returns_utc': '2026-12-05T10:00:00+00:00',
+            'rules': 'tzdata 2026.6',
+        },
+    ],
+}
+
+
+class _Admin(BaseHTTPRequestHandler):
+    answers: dict[str, tuple[int, Any]] = {}
+
+    def do_GET(self) -> None:  # noqa: N802
+        self._answer()
+
+    def do_POST(self) -> None:  # noqa: N802
+        self.rfile.read(int(self.headers['Content-Length']))
+        self._answer()
+
+    def log_message(self, *_: Any) -> None:
+        """Stay quiet."""
+
+    def _answer(self) -> None:
+        code, body = self.answers[self.path.partition('?')[0]]
+        encoded = json.dumps(body).encode()
+        self.send_response(code)
+        self.send_header('Content-Length', str(len(encoded)))
+        self.end_headers()
+        self.wfile.write(encoded)
+
+
+class CommandsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        server = HTTPServer(('127.0.0.1', 0), _Admin)
+        self.addCleanup(server.server_close)
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.shutdown)
+        self.url = f'http://127.0.0.1:{server.server_port}'
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.document = Path(folder.name) / 'new.toml'
+        self.document.write_text('', encoding='utf-8')
+        _Admin.answers = {'/v1/status': (200, _STATUS)}
+
+    def _publish(self, code: int, body: Any) -> int:
+        _Admin.answers['/v1/changes'] = (code, body)
+        with contextlib.redirect_stderr(io.StringIO()) as told:
+            ended = publish(self.document, wait_s=0, admin_url=self.url)
+        self.told = told.getvalue()
+        return ended
+
+    def test_publish_tells_apart_what_became_of_the_change(self) -> None:
+        for code, body, expected in (
+            (200, {'revision': 3}, ExitStatus.IN_FORCE),
+            (200, {'revision': 4}, ExitStatus.UNCONFIRMED),
+            (409, {'revision': 4}, ExitStatus.CONFLICT),
+            (422, {'errors': ['limits: wrong']}, ExitStatus.USAGE),
+            (503, {'detail': 'log down'}, ExitStatus.NOT_ACCEPTED),
+            (504, {'change_id': 'x', 'detail': 'y'}, ExitStatus.UNCONFIRMED),
+        ):
+            with self.subTest(code=code, body=body):
+                self.assertEqual(self._publish(code, body), expected.value)
+
+    def test_unconfirmed_names_the_vms(self) -> None:
+        self._publish(200, {'revision': 4})
+        self.assertIn('not yet confirmed by vm-1', self.told)
+
+    def test_an_unreachable_admin_port_accepts_nothing(self) -> None:
+        with contextlib.redirect_stderr(io.StringIO()) as told:
+            ended = publish(self.document, admin_url='http://127.0.0.1:1')
+        self.assertEqual(ended, ExitStatus.NOT_ACCEPTED.value)
+        self.assertIn('not accepted', told.getvalue())
+
+    def test_a_missing_file_is_wrong_usage(self) -> None:
+        with contextlib.redirect_stderr(io.StringIO()):
+            ended = publish(Path('/nowhere.toml'), admin_url=self.url)
+        self.assertEqual(ended, ExitStatus.USAGE.value)
+
+    def test_views_are_printed(self) -> None:
+        _Admin.answers['/v1/plan'] = (200, _PLAN)
+        _Admin.answers['/v1/history'] = (200, {'changes': []})
+        _Admin.answers['/v1/explain'] = (404, {'title': 'unknown service'})
+        with contextlib.redirect_stdout(io.StringIO()) as told:
+            self.assertEqual(status(admin_url=self.url), 0)
+            self.assertEqual(plan(admin_url=self.url), 0)
+            self.assertEqual(history(admin_url=self.url), 0)
+        for part in ('revision 3', 'cairo-a', '08:00:00+00:00', 'tzdata'):
+            self.assertIn(part, told.getvalue())
+        with contextlib.redirect_stderr(io.StringIO()) as complaint:
+            refused = explain(service='nope', admin_url=self.url)
+        self.assertEqual(refused, ExitStatus.USAGE.value)
+        self.assertIn('unknown service', complaint.getvalue())
+
+    def test_status_as_json_is_the_view(self) -> None:
+        with contextlib.redirect_stdout(io.StringIO()) as told:
+            status(json=True, admin_url=self.url)
+        self.assertEqual(json.loads(told.getvalue()), _STATUS)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/turmericpost-entry/src/turmericpost/forward/answer.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/answer.py
@@ -44,11 +44,9 @@
         exchange: Exchange,
         reactor: IReactorTime,
         bounds: HoldBounds,
-        *,
-        is_relayed: bool = False,
     ) -> None:
         self.is_streaming = False
-        self._is_relayed = is_relayed
+        self._is_relayed = False
         self._exchange = exchange
         self._reactor = reactor
         self._bounds = bounds
@@ -57,9 +55,10 @@
         self._held_bytes = 0
         self._timer: IDelayedCall | None = None
 
-    def begin(self, head: ResponseHead) -> None:
-        """Take the head."""
+    def begin(self, head: ResponseHead, *, is_relayed: bool) -> None:
+        """Take the head; a relayed answer keeps its outcome."""
         self._head = head
+        self._is_relayed = is_relayed
 
     def add(self, body: bytes) -> None:
         """Take a part of the body."""
@@ -119,7 +118,7 @@
             self._held.clear()
 
     def _headers(self, head: ResponseHead, *, is_whole: bool) -> Headers:
-        """Return the fields to pass on; a relayed answer keeps its outcome."""
+        """Return the fields to pass on."""
         is_reframed = head.has_body or not is_whole
         framing = _REFRAMED if is_reframed else _FRAMING_KEPT
         if self._is_relayed:
--- a/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
@@ -8,6 +8,7 @@
 from turmericpost.forward.load_header import LOAD_FIELD, parse_load_field
 from turmericpost.forward.pool import ConnectionPool, PendingConnection
 from turmericpost.forward.refusals import OUTCOME
+from turmericpost.forward.relays import RelayKind
 from turmericpost.http1.client import BackendConnection
 from turmericpost.http1.heads import ResponseHead
 from turmericpost.observe.metrics import Metrics
@@ -71,9 +72,9 @@
         owner: AttemptOwner,
         tools: AttemptTools,
         *,
-        is_relay: bool = False,
+        relay_kind: RelayKind | None = None,
     ) -> None:
-        self._is_relay = is_relay
+        self.relay_kind = relay_kind
         self._backend = backend
         self._load = load
         self._owner = owner
@@ -117,7 +118,7 @@
         self._latency_s = now_s - self._begun_s
         self._record_report(head, now_s)
         self._is_failing = head.status >= _FIRST_SERVER_ERROR
-        if _is_shed(head) and not self._is_relay:
+        if self._is_shed(head):
             self._unwanted = AttemptEnd.SHED
         elif not self._owner.attempt_head(head):
             self._unwanted = AttemptEnd.SERVER_ERROR
@@ -181,6 +182,12 @@
         )
         self._owner.attempt_ended(Attempt(end, self._bytes_sent))
 
+    def _is_shed(self, head: ResponseHead) -> bool:
+        """Return whether the call may go elsewhere; a key may not."""
+        if self.relay_kind is RelayKind.KEY:
+            return False
+        return head.status == _SHED_STATUS and head.first(OUTCOME) == _NOT_RUN
+
     def _give_connection_back(self) -> None:
         connection = self._connection
         self._connection = None
@@ -202,7 +209,3 @@
                 report.unwrap(),
                 now_s,
             )
-
-
-def _is_shed(head: ResponseHead) -> bool:
-    return head.status == _SHED_STATUS and head.first(OUTCOME) == _NOT_RUN
--- a/packages/turmericpost-entry/src/turmericpost/forward/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call.py
@@ -12,12 +12,14 @@
 from turmericpost.forward.call_facts import CallRequest
 from turmericpost.forward.observer import CallObserver
 from turmericpost.forward.refusals import refuse_exchange
+from turmericpost.forward.relays import RelayKind
 from turmericpost.forward.request_body import RequestBody
 from turmericpost.forward.request_head import OnwardFields, forwarded_head
 from turmericpost.http1.client import BackendConnection
 from turmericpost.http1.exchange import Exchange
 from turmericpost.http1.heads import ResponseHead
 from turmericpost_core.config.document import BackendServer
+from turmericpost_core.membership.facts import VmFact
 from turmericpost_core.outcome.ledger import (
     Attempt,
     AttemptEnd,
@@ -35,6 +37,7 @@
 from turmericpost_core.routing.table import Route
 
 _MS_PER_S = 1000
+_NOT_TAKEN = frozenset((AttemptEnd.SHED, AttemptEnd.CONNECT_FAILED))
 _RETRIED_STATUSES = frozenset((502, 503, 504))
 
 
@@ -50,6 +53,16 @@
     def stop_waiting(self, call: ForwardedCall) -> None:
         """Take a call out of the waiting ones."""
 
+    def turned_down(
+        self,
+        call: ForwardedCall,
+        kind: RelayKind | None,
+    ) -> None:
+        """Find another place for a call that another VM did not take."""
+
+    def relay_to_owner(self, call: ForwardedCall, owner: VmFact) -> None:
+        """Send a call to the VM that owns its operation key."""
+
     def slot_freed(self, service: str) -> None:
         """Give the freed slot to a waiting call."""
 
@@ -75,17 +88,15 @@
 class CallParts:
     """What a call is made of.
 
-    A relayed call goes to the entry VM that owns its operation key. What it
-    did there before is not known, and the answer is passed on as it is.
+    ``arrived_as`` says why another entry VM sent the call, if one did.
     """
 
     exchange: Exchange
     request: CallRequest
     answer: HeldAnswer
     body: RequestBody
-    deadline_ms: int
     observer: CallObserver | None = None
-    is_relayed: bool = False
+    arrived_as: RelayKind | None = None
 
 
 class ForwardedCall:
@@ -101,19 +112,33 @@
         self.route = route
         self.tried: set[str] = set()
         self.begun_s = host.now_s()
-        self.deadline_s = self.begun_s + parts.deadline_ms / _MS_PER_S
+        self.deadline_s = self.begun_s + _deadline_ms(parts, route) / _MS_PER_S
         self.body = parts.body
         self.is_waiting = False
         self._host = host
         self._exchange = parts.exchange
         self._answer = parts.answer
-        self._is_relayed = parts.is_relayed
+        self.offered: set[str] = set()
+        self.waits_from_s = self.begun_s
+        self.offer_again_s = self.begun_s
+        self.is_offered_here = parts.arrived_as is RelayKind.OFFERED
+        self.is_passed_here = parts.arrived_as is RelayKind.PASSED
         self._ledger = _new_ledger(parts, route)
         self._observer = parts.observer
         self._attempt: BackendAttempt | None = None
         self._deadline_timer: IDelayedCall | None = None
         self._is_over = False
 
+    @property
+    def account(self) -> str:
+        """Client account of the call."""
+        return self.request.facts.account
+
+    @property
+    def can_be_offered(self) -> bool:
+        """Whether the call is in memory, so that it can be sent again."""
+        return self.body.is_complete and self.body.is_replayable
+
     @property
     def attempts(self) -> int:
         """Attempts ended so far."""
@@ -129,23 +154,22 @@
         if not self._is_over:
             self._host.dispatch(self)
 
-    def begin_at(
-        self,
-        backend: BackendServer,
-        attempt: BackendAttempt,
-    ) -> None:
-        """Take the body and go to the one place that may run the call."""
+    def begin_at_owner(self, owner: VmFact) -> None:
+        """Take the body and go to the one VM that may run the call.
+
+        What was run there before is not known, so no failure is not-run.
+        """
+        self._ledger = CallLedger(repeatable=False, may_have_run=True)
         self._exchange.accept_body(self)
         if not self._is_over:
-            self.start_attempt(backend, attempt)
+            self._host.relay_to_owner(self, owner)
 
     def start_attempt(
         self,
         backend: BackendServer,
         attempt: BackendAttempt,
     ) -> None:
-        """Send the call to a backend server."""
-        self.tried.add(backend.address)
+        """Send the call to a backend server or to an entry VM."""
         self._attempt = attempt
         attempt.start()
 
@@ -200,8 +224,8 @@
         left_s = self.deadline_s - self._host.now_s()
         onward = OnwardFields(
             deadline_ms=max(int(left_s * _MS_PER_S), 1),
-            depth=self.request.depth + (not self._is_relayed),
-            is_relayed=self._is_relayed,
+            depth=self.request.depth + (self._relay_kind is None),
+            relay_kind=self._relay_kind,
         )
         head = forwarded_head(self._exchange.head, onward)
         connection.write(head + self.body.attach(connection))
@@ -219,7 +243,7 @@
         """Take the head, unless another attempt is the better answer."""
         if head.status in _RETRIED_STATUSES and self._may_repeat():
             return False
-        self._answer.begin(head)
+        self._answer.begin(head, is_relayed=self._relay_kind is not None)
         return True
 
     def attempt_body(self, body: bytes) -> None:
@@ -228,11 +252,15 @@
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Answer, retry or refuse."""
+        kind = self._relay_kind
         self._attempt = None
         self.body.detach()
         self._ledger = record_attempt(self._ledger, attempt)
         if not self._is_over:
-            self._settle(attempt)
+            if self._is_turned_down(attempt, kind):
+                self._host.turned_down(self, kind)
+            else:
+                self._settle(attempt)
         self._host.slot_freed(self.route.service.name)
 
     def pause_request(self) -> None:
@@ -243,6 +271,22 @@
         """Go on reading the body."""
         self._exchange.resume_body()
 
+    @property
+    def _relay_kind(self) -> RelayKind | None:
+        return None if self._attempt is None else self._attempt.relay_kind
+
+    def _is_turned_down(
+        self,
+        attempt: Attempt,
+        kind: RelayKind | None,
+    ) -> bool:
+        """Return whether another VM did not take the call."""
+        if kind is None or kind is RelayKind.KEY:
+            return False
+        if not self.body.is_replayable:
+            return False
+        return attempt.end in _NOT_TAKEN
+
     def _settle(self, attempt: Attempt) -> None:
         if attempt.end is AttemptEnd.WHOLE_ANSWER:
             self._close()
@@ -321,7 +365,11 @@
 
 
 def _new_ledger(parts: CallParts, route: Route) -> CallLedger:
-    if parts.is_relayed:
-        return CallLedger(repeatable=False, may_have_run=True)
-    repeatable = route.idempotent and parts.request.depth == 0
+    is_first = parts.request.depth == 0 and parts.arrived_as is None
+    repeatable = route.idempotent and is_first
     return CallLedger(repeatable=repeatable)
+
+
+def _deadline_ms(parts: CallParts, route: Route) -> int:
+    asked_ms = parts.request.deadline_ms
+    return route.default_deadline_ms if asked_ms is None else asked_ms
--- a/packages/turmericpost-entry/src/turmericpost/forward/call_facts.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call_facts.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from turmericpost.forward.relays import RelayKind, relay_kind
 from turmericpost.http1.heads import HOST, RequestHead
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.facts import CallFacts
@@ -34,6 +35,7 @@
     deadline_ms: int | None
     depth: int
     operation_key: str | None
+    arrived_as: RelayKind | None = None
 
 
 def read_call(head: RequestHead) -> Result[CallRequest, RefusalReason]:
@@ -60,7 +62,15 @@
         path=_path(head.target),
         asked_home_regions=home_region_set(fields.get(HOME_REGIONS)),
     )
-    return Ok(CallRequest(facts, deadline_ms, depth, operation_key))
+    return Ok(
+        CallRequest(
+            facts,
+            deadline_ms,
+            depth,
+            operation_key,
+            relay_kind(head.first(RELAYED)),
+        ),
+    )
 
 
 def home_region_set(text: str | None) -> frozenset[str] | None:
--- a/packages/turmericpost-entry/src/turmericpost/forward/call_queue.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call_queue.py
@@ -1,95 +1,152 @@
-"""Calls waiting for a free slot, and the start of their attempts."""
+"""Starts calls as the dispatcher says, here or at another entry VM."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TypeAlias
+
 from twisted.internet.interfaces import IReactorTime
 
 from turmericpost.forward.attempt import AttemptTools, BackendAttempt
 from turmericpost.forward.call import ForwardedCall
+from turmericpost.forward.relays import RelayKind, vm_as_backend
 from turmericpost_core.config.document import BackendServer
-from turmericpost_core.limits.waiting import WaitingCalls
+from turmericpost_core.limits.backend_load import BackendLoad
+from turmericpost_core.membership.facts import VmFact
 from turmericpost_core.outcome.reasons import RefusalReason
+from turmericpost_core.routing.dispatcher import (
+    Dispatcher,
+    PassOn,
+    Placement,
+    Refuse,
+    Start,
+)
+from turmericpost_core.routing.ownership import Ownership
 from turmericpost_core.routing.table import RoutingTable
 
-_RECHECK_S = 0.005
+_RECHECK_S = 0.002
 
+VmFinder: TypeAlias = Callable[[str], VmFact | None]
 
-class CallQueue:
-    """Starts calls on free slots; the others wait, accounts taking turns."""
 
-    def __init__(self, reactor: IReactorTime, tools: AttemptTools) -> None:
+class CallQueue:
+    """Calls that wait at this VM, and the start of their attempts."""
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        tools: AttemptTools,
+        own_name: str,
+        find_vm: VmFinder,
+    ) -> None:
         self._reactor = reactor
         self._tools = tools
-        self._table: RoutingTable | None = None
-        self._waiting: dict[str, WaitingCalls[ForwardedCall]] = {}
+        self._find_vm = find_vm
+        self._dispatcher: Dispatcher[ForwardedCall]
+        self._dispatcher = Dispatcher(own_name, tools.balancer)
         self._is_rechecking = False
 
     def install(self, table: RoutingTable) -> None:
         """Route the waiting calls anew and bound them by the new table."""
-        self._table = table
-        for service, waiting in self._waiting.items():
-            waiting.max_calls = _max_waiting(table, service)
-            for call in waiting.calls():
-                self._reroute(table, call)
-            self.slot_freed(service)
+        self._dispatcher.install(table)
+        for call in tuple(self._dispatcher.waiting_calls()):
+            self._reroute(table, call)
+        self._start_all()
+
+    def own(self, ownership: Ownership) -> None:
+        """Follow a change of owners; waiting calls are placed anew."""
+        self._dispatcher.own(ownership)
+        for call in tuple(self._dispatcher.waiting_calls()):
+            self.stop_waiting(call)
+            self.dispatch(call)
 
     def dispatch(self, call: ForwardedCall) -> None:
         """Start an attempt, or let the call wait for a free slot."""
-        backend = self._choose(call)
-        if backend is not None:
-            self._start(call, backend)
-            return
-        waiting = self._waiting_for(call.route.service.name)
-        if self._tools.balancer.all_leaving(call.route.backends):
-            call.refuse(RefusalReason.NO_ELIGIBLE_BACKEND)
-        elif waiting.is_full:
-            call.refuse(RefusalReason.QUEUE_FULL)
-        else:
+        placement = self._dispatcher.place(call, self._now_s())
+        if not self._begin(call, placement):
+            call.is_waiting = True
+            call.waits_from_s = self._now_s()
+            self._dispatcher.wait(call)
+            self._recheck_later()
+
+    def offer_refused(self, call: ForwardedCall) -> None:
+        """Let a call that another VM did not take wait on, as before."""
+        placement = self._dispatcher.place(call, self._now_s())
+        if not self._begin(call, placement):
+            self._dispatcher.offer_refused(call, self._now_s())
             call.is_waiting = True
-            waiting.add(call.request.facts.account, call)
             self._recheck_later()
 
     def stop_waiting(self, call: ForwardedCall) -> None:
         """Take a call out of the waiting ones."""
         call.is_waiting = False
-        waiting = self._waiting_for(call.route.service.name)
-        waiting.remove(call.request.facts.account, call)
+        self._dispatcher.stop_waiting(call)
 
     def slot_freed(self, service: str) -> None:
         """Give free slots to waiting calls, an account at a time."""
-        waiting = self._waiting.get(service)
-        while waiting:
-            if not self._start_one(waiting):
+        while True:
+            found = self._dispatcher.next_start(service, self._now_s())
+            if found is None:
                 return
+            call, backend = found
+            self.stop_waiting(call)
+            self._start(call, backend)
 
-    def _start_one(self, waiting: WaitingCalls[ForwardedCall]) -> bool:
-        for account, call in waiting.heads():
-            backend = self._choose(call)
-            if backend is not None:
-                waiting.take(account)
-                call.is_waiting = False
-                self._start(call, backend)
-                return True
-        return False
-
-    def _choose(self, call: ForwardedCall) -> BackendServer | None:
-        """Prefer a backend server that has not been tried."""
-        balancer = self._tools.balancer
-        backends = call.route.backends
-        now_s = self._tools.clock.monotonic_s()
-        backend = balancer.choose(backends, call.tried, now_s)
-        if backend is None and len(call.tried) >= len(backends):
-            return balancer.choose(backends, (), now_s)
-        return backend
+    def relay(
+        self,
+        call: ForwardedCall,
+        vm: VmFact,
+        kind: RelayKind,
+    ) -> None:
+        """Send a call to another entry VM."""
+        service = call.route.service
+        server = vm_as_backend(vm, service.name)
+        load = BackendLoad(service)
+        load.start()
+        attempt = BackendAttempt(
+            server,
+            load,
+            call,
+            self._tools,
+            relay_kind=kind,
+        )
+        self._tools.metrics.relays[kind.value] += 1
+        call.start_attempt(server, attempt)
+
+    def _begin(self, call: ForwardedCall, placement: Placement) -> bool:
+        """Act on a placement; return false if the call has to wait."""
+        if isinstance(placement, Start):
+            self._start(call, placement.backend)
+        elif isinstance(placement, PassOn):
+            self._relay_to(call, placement.vm_name, RelayKind.PASSED)
+        elif isinstance(placement, Refuse):
+            call.refuse(placement.reason)
+        else:
+            return False
+        return True
 
     def _start(self, call: ForwardedCall, backend: BackendServer) -> None:
         load = self._tools.balancer.start(backend.address)
         if load is None:
             call.refuse(RefusalReason.NO_ELIGIBLE_BACKEND)
             return
+        call.tried.add(backend.address)
         attempt = BackendAttempt(backend, load, call, self._tools)
         call.start_attempt(backend, attempt)
 
+    def _relay_to(
+        self,
+        call: ForwardedCall,
+        name: str,
+        kind: RelayKind,
+    ) -> None:
+        call.offered.add(name)
+        vm = self._find_vm(name)
+        if vm is None:
+            self.dispatch(call)
+        else:
+            self.relay(call, vm, kind)
+
     def _reroute(self, table: RoutingTable, call: ForwardedCall) -> None:
         route = table.route(call.request.facts)
         if route.is_err():
@@ -101,15 +158,18 @@
             self.stop_waiting(call)
             call.refuse(RefusalReason.NO_ELIGIBLE_BACKEND)
 
-    def _waiting_for(self, service: str) -> WaitingCalls[ForwardedCall]:
-        waiting = self._waiting.get(service)
-        if waiting is None:
-            bound = 0
-            if self._table is not None:
-                bound = _max_waiting(self._table, service)
-            waiting = WaitingCalls(bound)
-            self._waiting[service] = waiting
-        return waiting
+    def _start_all(self) -> None:
+        for service in self._dispatcher.services_waited_for():
+            self.slot_freed(service)
+
+    def _offer_all(self) -> None:
+        for service in self._dispatcher.services_waited_for():
+            found = self._dispatcher.next_offer(service, self._now_s())
+            while found is not None:
+                call, name = found
+                self.stop_waiting(call)
+                self._relay_to(call, name, RelayKind.OFFERED)
+                found = self._dispatcher.next_offer(service, self._now_s())
 
     def _recheck_later(self) -> None:
         if not self._is_rechecking:
@@ -118,19 +178,10 @@
 
     def _recheck(self) -> None:
         self._is_rechecking = False
-        for service, waiting in self._waiting.items():
-            if waiting:
-                self.slot_freed(service)
-        if any(self._waiting.values()):
+        self._start_all()
+        self._offer_all()
+        if self._dispatcher.has_waiting:
             self._recheck_later()
 
-
-def _max_waiting(table: RoutingTable, service: str) -> int:
-    document = table.document
-    per_backend = sum(
-        one.slots * one.queue_per_slot
-        for one in document.services
-        if one.name == service
-    )
-    backends = (one.service for one in document.backend_servers)
-    return per_backend * sum(name == service for name in backends)
+    def _now_s(self) -> float:
+        return self._tools.clock.monotonic_s()
--- a/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
@@ -9,7 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from turmericpost.forward.answer import HeldAnswer, HoldBounds
-from turmericpost.forward.attempt import AttemptTools, BackendAttempt
+from turmericpost.forward.attempt import AttemptTools
 from turmericpost.forward.call import CallParts, ForwardedCall
 from turmericpost.forward.call_facts import CallRequest, read_call
 from turmericpost.forward.call_queue import CallQueue
@@ -18,12 +18,11 @@
 from turmericpost.forward.observer import CallObserver
 from turmericpost.forward.operations import RunningOperations
 from turmericpost.forward.refusals import refuse_exchange
+from turmericpost.forward.relays import RelayKind
 from turmericpost.forward.request_body import RequestBody
 from turmericpost.forward.settings import ForwardSettings
 from turmericpost.http1.exchange import Exchange
 from turmericpost.observe.events import LogEvent, log_event
-from turmericpost_core.config.document import BackendServer
-from turmericpost_core.limits.backend_load import BackendLoad
 from turmericpost_core.limits.retry_budget import (
     RetryBudget,
     RetryBudgetSettings,
@@ -35,8 +34,11 @@
     RefusalReason,
     RetryReason,
 )
+from turmericpost_core.routing.ownership import Ownership
 from turmericpost_core.routing.table import Route, RoutingTable
 
+_PLACED = frozenset((RelayKind.PASSED, RelayKind.OFFERED))
+
 WELL_KNOWN = b'/.well-known/turmericpost/'
 
 WellKnownHandler: TypeAlias = Callable[[Exchange], None]
@@ -71,7 +73,12 @@
         )
         self._table: RoutingTable | None = None
         self._budgets: dict[str, RetryBudget] = {}
-        self._queue = CallQueue(reactor, tools)
+        self._queue = CallQueue(
+            reactor,
+            tools,
+            key_place.own_name,
+            key_place.find_vm,
+        )
         self._hold = HoldBounds(settings.hold_bytes, settings.hold_ms)
 
     @property
@@ -155,34 +162,33 @@
 
     def run(self, call: KeyedCall, observer: CallObserver) -> None:
         """Send the one run of a keyed call to a backend server."""
-        parts = self._parts(call.exchange, call.request, call.route)
+        parts = self._parts(call.exchange, call.request)
         followed = replace(parts, observer=observer)
         self._new_call(followed, call.route).begin()
 
     def relay(self, call: KeyedCall, owner: VmFact) -> None:
         """Send a keyed call to the entry VM that owns its key."""
-        relayed = replace(
-            self._parts(call.exchange, call.request, call.route),
-            answer=HeldAnswer(
-                call.exchange,
-                self._reactor,
-                self._hold,
-                is_relayed=True,
-            ),
-            is_relayed=True,
-        )
-        new_call = self._new_call(relayed, call.route)
-        vm = _vm_as_backend(owner, call.route.service.name)
-        load = BackendLoad(call.route.service)
-        load.start()
-        attempt = BackendAttempt(
-            vm,
-            load,
-            new_call,
-            self._tools,
-            is_relay=True,
-        )
-        new_call.begin_at(vm, attempt)
+        parts = self._parts(call.exchange, call.request)
+        self._new_call(parts, call.route).begin_at_owner(owner)
+
+    def relay_to_owner(self, call: ForwardedCall, owner: VmFact) -> None:
+        """Send a call to the VM that owns its operation key."""
+        self._queue.relay(call, owner, RelayKind.KEY)
+
+    def turned_down(
+        self,
+        call: ForwardedCall,
+        kind: RelayKind | None,
+    ) -> None:
+        """Find another place for a call that another VM did not take."""
+        if kind is RelayKind.OFFERED:
+            self._queue.offer_refused(call)
+        else:
+            self._queue.dispatch(call)
+
+    def own(self, ownership: Ownership) -> None:
+        """Follow a change of owners."""
+        self._queue.own(ownership)
 
     def _begin_call(self, exchange: Exchange) -> None:
         read = read_call(exchange.head)
@@ -208,8 +214,9 @@
         route: Route,
     ) -> None:
         key = request.operation_key
-        if key is None or route.idempotent:
-            parts = self._parts(exchange, request, route)
+        is_placed = request.arrived_as in _PLACED
+        if key is None or route.idempotent or is_placed:
+            parts = self._parts(exchange, request)
             self._new_call(parts, route).begin()
             return
         facts = request.facts
@@ -218,21 +225,13 @@
             KeyedCall(exchange, request, route, operation_id),
         )
 
-    def _parts(
-        self,
-        exchange: Exchange,
-        request: CallRequest,
-        route: Route,
-    ) -> CallParts:
-        deadline_ms = request.deadline_ms
-        if deadline_ms is None:
-            deadline_ms = route.default_deadline_ms
+    def _parts(self, exchange: Exchange, request: CallRequest) -> CallParts:
         return CallParts(
             exchange=exchange,
             request=request,
             answer=HeldAnswer(exchange, self._reactor, self._hold),
             body=self._request_body(exchange),
-            deadline_ms=deadline_ms,
+            arrived_as=request.arrived_as,
         )
 
     def _new_call(self, parts: CallParts, route: Route) -> ForwardedCall:
@@ -258,13 +257,3 @@
         self._tools.metrics.calls_begun += 1
         self._tools.metrics.refusals[reason] += 1
         refuse_exchange(exchange, Outcome.NOT_RUN, reason)
-
-
-def _vm_as_backend(owner: VmFact, service: str) -> BackendServer:
-    identity = owner.identity
-    return BackendServer(
-        host=identity.caller_host,
-        port=identity.caller_port,
-        service=service,
-        failure_domain=identity.failure_domain,
-    )
--- a/packages/turmericpost-entry/src/turmericpost/forward/keyed_calls.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/keyed_calls.py
@@ -9,7 +9,7 @@
 from result import Result
 from twisted.internet.defer import Deferred
 
-from turmericpost.forward.call_facts import RELAYED, CallRequest
+from turmericpost.forward.call_facts import CallRequest
 from turmericpost.forward.claims import ClaimedKey, KeyClaims
 from turmericpost.forward.observer import CallObserver
 from turmericpost.forward.operations import (
@@ -67,11 +67,19 @@
 class KeyPlace:
     """What keyed calls need to know of this VM and the others."""
 
+    own_name: str
     own: Callable[[], VmFact]
     known_vms: Callable[[], tuple[VmFact, ...]]
     store_region: str
     clock: Clock
 
+    def find_vm(self, name: str) -> VmFact | None:
+        """Return a VM by name if it is not lost."""
+        for fact in self.known_vms():
+            if fact.identity.name == name:
+                return fact
+        return None
+
 
 class KeyedCalls:
     """Decides where the one run of an operation may take place."""
@@ -114,7 +122,7 @@
     def _relay(self, call: KeyedCall, owner: KeyOwner) -> None:
         """Send to the owner; a relayed call is not relayed again."""
         fact = self._fact_of(owner)
-        if fact is None or call.exchange.head.first(RELAYED) is not None:
+        if fact is None or call.request.arrived_as is not None:
             self._refuse(call, RefusalReason.KEY_OWNER_LOST)
             return
         home = call.route.home_regions
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/forward/owning.py
@@ -0,0 +1,81 @@
+"""Ownership at this VM: follows the view and the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from turmericpost_core.clock import Clock
+from turmericpost_core.membership.facts import VmFact
+from turmericpost_core.membership.view import MembershipView
+from turmericpost_core.routing.balancer import Balancer
+from turmericpost_core.routing.ownership import (
+    NO_OWNERSHIP,
+    Ownership,
+    share_out,
+)
+from turmericpost_core.routing.table import RoutingTable
+
+SETTLE_S = 2
+
+
+@dataclass(frozen=True)
+class OwningParts:
+    """What ownership is made from, and who has to know."""
+
+    clock: Clock
+    balancer: Balancer
+    view: Callable[[], MembershipView]
+    table: Callable[[], RoutingTable | None]
+    tell: Callable[[Ownership], None]
+
+
+class Owning:
+    """Keeps the ownership in force; a change takes effect at once."""
+
+    def __init__(self, parts: OwningParts) -> None:
+        self.ownership = NO_OWNERSHIP
+        self._parts = parts
+
+    def vms(self) -> tuple[VmFact, ...]:
+        """Return the VMs that take new calls.
+
+        VMs in a failure domain out of service do not, unless all are.
+        """
+        live = self._parts.view().live()
+        table = self._parts.table()
+        if table is None:
+            return live
+        kept = tuple(
+            fact
+            for fact in live
+            if fact.identity.failure_domain not in table.domains_out
+        )
+        return kept or live
+
+    def review(self) -> None:
+        """Follow a change of the view or of the configuration."""
+        table = self._parts.table()
+        if table is None:
+            return
+        view = self._parts.view()
+        own = view.own.identity
+        self._parts.balancer.allow_warm_up(
+            allowed=view.has_majority(own.region),
+        )
+        ownership = share_out(table.document, self.vms())
+        if ownership == self.ownership:
+            return
+        self.ownership = ownership
+        self._take_over(own.name, is_alone=len(view.all_facts()) == 1)
+        self._parts.tell(ownership)
+
+    def _take_over(self, own_name: str, *, is_alone: bool) -> None:
+        owned = frozenset(
+            address
+            for address, name in self.ownership.backend_owners.items()
+            if name == own_name
+        )
+        settle_s = 0 if is_alone else SETTLE_S
+        now_s = self._parts.clock.monotonic_s()
+        self._parts.balancer.take_over(owned, now_s + settle_s)
--- a/packages/turmericpost-entry/src/turmericpost/forward/request_head.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/request_head.py
@@ -6,6 +6,7 @@
 
 from turmericpost.forward.answer import VIA_FIELD
 from turmericpost.forward.call_facts import DEADLINE, DEPTH, RELAYED
+from turmericpost.forward.relays import RelayKind
 from turmericpost.http1.heads import (
     EXPECT,
     TRANSFER_ENCODING,
@@ -24,7 +25,7 @@
 
     deadline_ms: int
     depth: int
-    is_relayed: bool
+    relay_kind: RelayKind | None
 
 
 def forwarded_head(head: RequestHead, onward: OnwardFields) -> bytes:
@@ -36,8 +37,9 @@
     headers.append(VIA_FIELD)
     headers.append((DEADLINE, b'%d' % onward.deadline_ms))
     headers.append((DEPTH, b'%d' % onward.depth))
-    if onward.is_relayed:
-        headers.append((RELAYED, b'1'))
+    if onward.relay_kind is not None:
+        kind = onward.relay_kind.value.encode('ascii')
+        headers.append((RELAYED, kind))
     if head.content_length is None:
         headers.append(_CHUNKED)
     return render_request(head.method, head.target, headers)
--- a/packages/turmericpost-entry/src/turmericpost/forward/well_known.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/well_known.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from random import Random
 from urllib.parse import parse_qs, urlsplit
 
 from result import Err, Ok, Result
@@ -18,11 +19,12 @@
 from turmericpost.forward.refusals import refuse_exchange
 from turmericpost.http1.exchange import Exchange
 from turmericpost_core.clock import Clock
-from turmericpost_core.membership.answers import answer_vms
+from turmericpost_core.membership.answers import AnswerRequest, answer_vms
 from turmericpost_core.membership.facts import VmFact
 from turmericpost_core.operations.keys import key_prefix
 from turmericpost_core.outcome.reasons import Outcome, RefusalReason
 from turmericpost_core.routing.facts import CallFacts
+from turmericpost_core.routing.ownership import Ownership
 from turmericpost_core.routing.table import RoutingTable
 
 _ADDRESSES_PATH = '/.well-known/turmericpost/addresses'
@@ -33,7 +35,9 @@
     """What address answers are made from."""
 
     table: Callable[[], RoutingTable | None]
-    live_vms: Callable[[], tuple[VmFact, ...]]
+    vms: Callable[[], tuple[VmFact, ...]]
+    ownership: Callable[[], Ownership]
+    random: Random
     own_region: str
     clock: Clock
     record_refusal: Callable[[RefusalReason], None]
@@ -80,11 +84,14 @@
     ) -> Result[bytes, RefusalReason]:
         limits = table.document.limits
         vms = answer_vms(
-            facts.service,
-            self._vms_in_service(table),
-            home_regions,
-            self._source.own_region,
-            limits.owners_per_service,
+            AnswerRequest(
+                facts.service,
+                home_regions,
+                self._source.own_region,
+            ),
+            self._source.vms(),
+            self._source.ownership(),
+            self._source.random,
         )
         if not vms:
             return Err(RefusalReason.NOT_READY)
@@ -103,15 +110,6 @@
         }
         return Ok(json.dumps(answer).encode())
 
-    def _vms_in_service(self, table: RoutingTable) -> tuple[VmFact, ...]:
-        live = self._source.live_vms()
-        kept = tuple(
-            fact
-            for fact in live
-            if fact.identity.failure_domain not in table.domains_out
-        )
-        return kept or live
-
 
 def _facts(exchange: Exchange, service: str) -> CallFacts:
     head = exchange.head
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -14,12 +14,13 @@
 from turmericpost.admin.views import AdminState
 from turmericpost.forward.assembly import CallPathParts, new_forwarder
 from turmericpost.forward.keyed_calls import KeyPlace
+from turmericpost.forward.owning import Owning, OwningParts
 from turmericpost.forward.well_known import AddressAnswers, AnswerSource
 from turmericpost.http1.listen_drain import stop_new_connections
 from turmericpost.http1.server import CallerPort
 from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.observe.metrics import Metrics
-from turmericpost.peer.service import ConfigurationExchange, new_peer_service
+from turmericpost.peer.service import PeerListeners, new_peer_service
 from turmericpost.peer.stream import PeerListener
 from turmericpost.platform.clients import connect_platform
 from turmericpost.reactor_clock import ReactorClock
@@ -109,16 +110,28 @@
 
     def _build_calls(self) -> None:
         self._balancer = Balancer(SystemRandom())
+        self._owning = Owning(
+            OwningParts(
+                clock=self.clock,
+                balancer=self._balancer,
+                view=lambda: self.peers.view,
+                table=self._table,
+                tell=lambda ownership: self.forwarder.own(ownership),
+            ),
+        )
         answers = AddressAnswers(
             AnswerSource(
                 table=self._table,
-                live_vms=self._live_vms,
+                vms=self._owning.vms,
+                ownership=lambda: self._owning.ownership,
+                random=SystemRandom(),
                 own_region=self._settings.peers.region,
                 clock=self.clock,
                 record_refusal=self._record_refusal,
             ),
         )
         key_place = KeyPlace(
+            own_name=self._own_name(),
             own=lambda: self.peers.view.own,
             known_vms=lambda: self.peers.view.known(),
             store_region=self._settings.platform.store_region,
@@ -179,9 +192,10 @@
             self.clock,
             VmFact(self._identity(), self._incarnation()),
             peers.lost_after_s,
-            ConfigurationExchange(
+            PeerListeners(
                 current=lambda: self.configuration,
                 adopt=self._platform.follower.adopt,
+                view_changed=self._owning.review,
             ),
             self.metrics,
         )
@@ -205,13 +219,17 @@
     def _identity(self) -> VmIdentity:
         peers = self._settings.peers
         return VmIdentity(
-            name=f'{peers.peer_host}:{peers.peer_port}',
+            name=self._own_name(),
             caller_host=self._settings.callers.caller_host,
             caller_port=self.caller_port,
             failure_domain=peers.failure_domain,
             region=peers.region,
         )
 
+    def _own_name(self) -> str:
+        peers = self._settings.peers
+        return f'{peers.peer_host}:{peers.peer_port}'
+
     def _incarnation(self) -> int:
         return int(self.clock.utc_now().timestamp() * _MS_PER_S)
 
@@ -222,9 +240,6 @@
     def _table(self) -> RoutingTable | None:
         return self.forwarder.table
 
-    def _live_vms(self) -> tuple[VmFact, ...]:
-        return self.peers.view.live()
-
     def _record_refusal(self, reason: RefusalReason) -> None:
         self.metrics.calls_begun += 1
         self.metrics.refusals[reason] += 1
@@ -248,11 +263,13 @@
         )
         state = VmState.LEAVING if self._is_stopping else VmState.LIVE
         self.peers.state_own(state, configuration.revision)
+        self._owning.review()
         if is_first:
             log_event(LogEvent.READY)
 
     def _sweep(self) -> None:
         self._caller_port.check_time()
+        self._owning.review()
         self.forwarder.operations.table.expire(self.clock.monotonic_s())
         change_utc = self._next_domain_change_utc
         if change_utc is not None and self.clock.utc_now() >= change_utc:
--- a/packages/turmericpost-entry/src/turmericpost/observe/exposition.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/exposition.py
@@ -47,6 +47,14 @@
         for reason, retried in self._metrics.retries.items():
             retries.add_metric([reason.value], retried)
         yield retries
+        relays = CounterMetricFamily(
+            'turmericpost_relays',
+            'Calls sent to another entry VM, by kind.',
+            labels=['kind'],
+        )
+        for kind, relayed in self._metrics.relays.items():
+            relays.add_metric([kind], relayed)
+        yield relays
 
     def _totals(self) -> Iterator[Metric]:
         metrics = self._metrics
--- a/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
@@ -6,6 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from turmericpost.forward.relays import RelayKind
 from turmericpost_core.outcome.reasons import RefusalReason, RetryReason
 
 _LOWEST_US = 1
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self.refusals = Counter({reason: 0 for reason in RefusalReason})
         self.retries = Counter({reason: 0 for reason in RetryReason})
+        self.relays = Counter({kind.value: 0 for kind in RelayKind})
         self.calls_begun = 0
         self.calls_answered = 0
         self.duplicates_answered = 0
--- a/packages/turmericpost-entry/src/turmericpost/peer/service.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/service.py
@@ -26,11 +26,12 @@
 
 
 @dataclass(frozen=True)
-class ConfigurationExchange:
-    """How peers pass configurations on."""
+class PeerListeners:
+    """What the rest of the VM gives to and takes from the peers."""
 
     current: Callable[[], Configuration]
     adopt: Callable[[Configuration], None]
+    view_changed: Callable[[], None]
 
 
 class PeerService:
@@ -41,13 +42,13 @@
         reactor: Any,
         clock: Clock,
         view: MembershipView,
-        configurations: ConfigurationExchange,
+        listeners: PeerListeners,
         metrics: Metrics,
     ) -> None:
         self.view = view
         self._reactor = reactor
         self._clock = clock
-        self._configurations = configurations
+        self._listeners = listeners
         self._metrics = metrics
         self._streams: set[PeerStream] = set()
         self._dialling: set[str] = set()
@@ -59,7 +60,7 @@
         neighbours = self.view.neighbours()
         self.view.watch(neighbours, now_s)
         if self.view.record_silence(now_s):
-            self._log_view()
+            self._view_changed()
             neighbours = self.view.neighbours()
         for name in (*neighbours, *self._one_absent()):
             self._dial(name)
@@ -120,11 +121,11 @@
         elif isinstance(message, Heartbeat):
             self._heartbeat_received(stream, message)
         elif isinstance(message, ConfigurationRequest):
-            current = self._configurations.current()
+            current = self._listeners.current()
             if current.revision > message.revision:
                 stream.send(ConfigurationReply(current))
         else:
-            self._configurations.adopt(message.configuration)
+            self._listeners.adopt(message.configuration)
 
     def bytes_sent(self, count: int) -> None:
         """Count control bytes sent."""
@@ -154,11 +155,11 @@
             facts,
             self._clock.monotonic_s(),
         )
-        current = self._configurations.current()
+        current = self._listeners.current()
         if sender.revision > current.revision:
             stream.send(ConfigurationRequest(current.revision))
         if changed:
-            self._log_view()
+            self._view_changed()
             self.send_heartbeats()
 
     def _dial(self, name: str) -> None:
@@ -188,7 +189,8 @@
                 stream.close()
             kept.add(name)
 
-    def _log_view(self) -> None:
+    def _view_changed(self) -> None:
+        self._listeners.view_changed()
         live = self.view.live()
         log_event(
             LogEvent.VIEW_CHANGED,
@@ -201,12 +203,12 @@
     clock: Clock,
     own: VmFact,
     lost_after_s: float,
-    configurations: ConfigurationExchange,
+    listeners: PeerListeners,
     metrics: Metrics,
 ) -> PeerService:
     """Return the service of a VM that knows only itself."""
     view = MembershipView(own, MembershipSettings(lost_after_s=lost_after_s))
-    return PeerService(reactor, clock, view, configurations, metrics)
+    return PeerService(reactor, clock, view, listeners, metrics)
 
 
 def _dialled_name(stream: PeerStream) -> str:
--- a/packages/turmericpost-entry/tests/forward/test_keyed_calls.py
+++ b/packages/turmericpost-entry/tests/forward/test_keyed_calls.py
@@ -149,7 +149,7 @@
         prefix = key_prefix(other, self.harness.clock.utc_now())
         caller = self._call(_post(f'{prefix}1'))
         owner: Backend = self.harness.backend()
-        self.assertIn(b'turmericpost-relayed: 1', owner.received())
+        self.assertIn(b'turmericpost-relayed: key', owner.received())
         owner.answer(
             b'{}',
             b'422 Unprocessable Content',
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -41,6 +41,7 @@
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.balancer import Balancer
 from turmericpost_core.routing.facts import Location
+from turmericpost_core.routing.ownership import share_out
 from turmericpost_core.routing.table import RoutingTable
 
 WARM_REPORT = (
@@ -228,7 +229,13 @@
             forward,
             tools,
             self._well_known,
-            KeyPlace(lambda: self.own, lambda: self.known, 'cairo', self.clock),
+            KeyPlace(
+                self.own.identity.name,
+                lambda: self.own,
+                lambda: self.known,
+                'cairo',
+                self.clock,
+            ),
             KeyClaims(self.log, self.clock),  # type: ignore[arg-type]
         )
         self.port = CallerPort(
@@ -257,6 +264,8 @@
         )
         location = Location('cairo-a', 'cairo')
         self.forwarder.install(RoutingTable(document, location, frozenset()))
+        self.ownership = share_out(document, self.known)
+        self.forwarder.own(self.ownership)
 
     def caller(self) -> Caller:
         """Open a caller connection."""
--- /dev/null
+++ b/packages/turmericpost-standins/src/turmericpost_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the decision core on a fake clock, with baselines."""
