Give leave to warm servers up for a second at a time

Cause: a process that was paused went on sending to cold servers that another VM had taken over (read in the code; the core tests now fail without it). Change: leave ends by itself and is renewed while neighbours are heard; a VM that was called lost settles anew. The call's interfaces and the platform tasks stand in modules of their own. Conclusion: what remains is one round trip after a pause, noted as not proved.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/view.py
@@ -81,6 +81,13 @@
         own = int(self.own.identity.region == region)
         return own + len(others) - lost > lost
 
+    def is_in_touch(self, now_s: float) -> bool:
+        """Return whether a neighbour was heard lately, or there is none."""
+        heard = self._heard_at_s.values()
+        if not heard:
+            return True
+        return now_s - max(heard) <= self._settings.lost_after_s
+
     def all_facts(self) -> tuple[VmFact, ...]:
         """Return every fact held, lost VMs included."""
         return (self.own, *self._facts.values())
--- a/packages/turmericpost-core/src/turmericpost_core/routing/balancer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/balancer.py
@@ -27,7 +27,7 @@
         self._loads: dict[str, BackendLoad] = {}
         self._finishes = 0
         self._owned: frozenset[str] = frozenset()
-        self._may_warm_up = True
+        self._warm_up_until_s = float('inf')
         self._usual_s: dict[str, float] = {}
 
     def install(self, table: RoutingTable) -> None:
@@ -55,13 +55,17 @@
                 load.settle(settles_until_s)
         self._owned = owned
 
-    def allow_warm_up(self, *, allowed: bool) -> None:
-        """Say whether cold servers may get calls.
+    def give_up(self) -> None:
+        """Own nothing: what is taken over again has to settle."""
+        self._owned = frozenset()
 
-        Not in the smaller part of a split view: the other part may own the
-        same servers.
+    def allow_warm_up(self, until_s: float) -> None:
+        """Say until when cold servers may get calls.
+
+        The time is checked at each use, so that a process that was paused
+        sends nothing to a server that another VM may own by now.
         """
-        self._may_warm_up = allowed
+        self._warm_up_until_s = until_s
 
     def usual_latency_s(self, service: str) -> float:
         """Return the latency usual among a service's backend servers."""
@@ -147,7 +151,7 @@
     ) -> float:
         if not load.has_room(now_s, expected_wait_s):
             return float('inf')
-        if load.is_cold and not self._may_warm_up:
+        if load.is_cold and now_s > self._warm_up_until_s:
             return float('inf')
         share = (load.in_flight + self._random.random()) / load.limit
         return share * (1 + load.latency_s)
--- a/packages/turmericpost-core/tests/routing/test_dispatcher.py
+++ b/packages/turmericpost-core/tests/routing/test_dispatcher.py
@@ -137,11 +137,28 @@
         placed = self.dispatcher.place(_Call(self.route), 2)
         self.assertEqual(placed, Start(self.route.backends[0]))
 
+    def test_leave_to_warm_up_ends_by_itself(self) -> None:
+        self.balancer.allow_warm_up(until_s=1)
+        placed = self.dispatcher.place(_Call(self.route), 1)
+        self.assertIsInstance(placed, Start)
+        after_pause = self.dispatcher.place(_Call(self.route), 1.1)
+        self.assertEqual(after_pause, Wait())
+
+    def test_what_was_given_up_settles_again(self) -> None:
+        owned = frozenset(('10.0.0.1:1',))
+        self.balancer.take_over(owned, 0)
+        self.balancer.take_over(owned, 5)
+        placed = self.dispatcher.place(_Call(self.route), 1)
+        self.assertIsInstance(placed, Start)
+        self.balancer.give_up()
+        self.balancer.take_over(owned, 5)
+        self.assertEqual(self.dispatcher.place(_Call(self.route), 1), Wait())
+
     def test_the_smaller_part_of_a_view_warms_nothing_up(self) -> None:
-        self.balancer.allow_warm_up(allowed=False)
-        self.assertEqual(self.dispatcher.place(_Call(self.route), 0), Wait())
+        self.balancer.allow_warm_up(until_s=0)
+        self.assertEqual(self.dispatcher.place(_Call(self.route), 1), Wait())
         self._warm()
-        placed = self.dispatcher.place(_Call(self.route), 0)
+        placed = self.dispatcher.place(_Call(self.route), 1)
         self.assertIsInstance(placed, Start)
 
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Protocol as Interface
-
 from twisted.internet.interfaces import IDelayedCall
 
-from turmericpost.forward.answer import HeldAnswer
 from turmericpost.forward.attempt import BackendAttempt
-from turmericpost.forward.call_facts import CallRequest
-from turmericpost.forward.observer import CallObserver
+from turmericpost.forward.call_parts import (
+    CallHost,
+    CallParts,
+    deadline_ms,
+    new_ledger,
+)
 from turmericpost.forward.refusals import refuse_exchange
 from turmericpost.forward.relays import RelayKind
-from turmericpost.forward.request_body import RequestBody
 from turmericpost.forward.request_head import OnwardFields, forwarded_head
 from turmericpost.http1.client import BackendConnection
-from turmericpost.http1.exchange import Exchange
 from turmericpost.http1.heads import ResponseHead
 from turmericpost_core.config.document import BackendServer
 from turmericpost_core.membership.facts import VmFact
@@ -32,7 +30,6 @@
 from turmericpost_core.outcome.reasons import (
     Outcome,
     RefusalReason,
-    RetryReason,
 )
 from turmericpost_core.routing.table import Route
 
@@ -41,64 +38,6 @@
 _RETRIED_STATUSES = frozenset((502, 503, 504))
 
 
-class CallHost(Interface):
-    """The entry VM as a call sees it."""
-
-    def now_s(self) -> float:
-        """Return monotonic seconds."""
-
-    def dispatch(self, call: ForwardedCall) -> None:
-        """Start an attempt, or let the call wait for a free slot."""
-
-    def stop_waiting(self, call: ForwardedCall) -> None:
-        """Take a call out of the waiting ones."""
-
-    def turned_down(
-        self,
-        call: ForwardedCall,
-        kind: RelayKind | None,
-    ) -> None:
-        """Find another place for a call that another VM did not take."""
-
-    def relay_to_owner(self, call: ForwardedCall, owner: VmFact) -> None:
-        """Send a call to the VM that owns its operation key."""
-
-    def slot_freed(self, service: str) -> None:
-        """Give the freed slot to a waiting call."""
-
-    def may_retry(self, call: ForwardedCall) -> bool:
-        """Return whether limits and budget allow another attempt."""
-
-    def record_retry(self, call: ForwardedCall, reason: RetryReason) -> None:
-        """Count a retry and take it from the budget."""
-
-    def record_answered(self, call: ForwardedCall) -> None:
-        """Count a call that got its whole answer."""
-
-    def record_refused(
-        self,
-        call: ForwardedCall,
-        outcome: Outcome,
-        reason: RefusalReason,
-    ) -> None:
-        """Count a refusal."""
-
-
-@dataclass(frozen=True)
-class CallParts:
-    """What a call is made of.
-
-    ``arrived_as`` says why another entry VM sent the call, if one did.
-    """
-
-    exchange: Exchange
-    request: CallRequest
-    answer: HeldAnswer
-    body: RequestBody
-    observer: CallObserver | None = None
-    arrived_as: RelayKind | None = None
-
-
 class ForwardedCall:
     """A call from its head to its answer."""
 
@@ -112,7 +51,7 @@
         self.route = route
         self.tried: set[str] = set()
         self.begun_s = host.now_s()
-        self.deadline_s = self.begun_s + _deadline_ms(parts, route) / _MS_PER_S
+        self.deadline_s = self.begun_s + deadline_ms(parts, route) / _MS_PER_S
         self.body = parts.body
         self.is_waiting = False
         self._host = host
@@ -123,7 +62,7 @@
         self.offer_again_s = self.begun_s
         self.is_offered_here = parts.arrived_as is RelayKind.OFFERED
         self.is_passed_here = parts.arrived_as is RelayKind.PASSED
-        self._ledger = _new_ledger(parts, route)
+        self._ledger = new_ledger(parts, route)
         self._observer = parts.observer
         self._attempt: BackendAttempt | None = None
         self._deadline_timer: IDelayedCall | None = None
@@ -362,14 +301,3 @@
         self._answer.stop_timer()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
-
-
-def _new_ledger(parts: CallParts, route: Route) -> CallLedger:
-    is_first = parts.request.depth == 0 and parts.arrived_as is None
-    repeatable = route.idempotent and is_first
-    return CallLedger(repeatable=repeatable)
-
-
-def _deadline_ms(parts: CallParts, route: Route) -> int:
-    asked_ms = parts.request.deadline_ms
-    return route.default_deadline_ms if asked_ms is None else asked_ms
--- a/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
@@ -10,8 +10,9 @@
 
 from turmericpost.forward.answer import HeldAnswer, HoldBounds
 from turmericpost.forward.attempt import AttemptTools
-from turmericpost.forward.call import CallParts, ForwardedCall
+from turmericpost.forward.call import ForwardedCall
 from turmericpost.forward.call_facts import CallRequest, read_call
+from turmericpost.forward.call_parts import CallParts
 from turmericpost.forward.call_queue import CallQueue
 from turmericpost.forward.claims import KeyClaims
 from turmericpost.forward.keyed_calls import KeyedCall, KeyedCalls, KeyPlace
--- a/packages/turmericpost-entry/src/turmericpost/forward/owning.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/owning.py
@@ -17,6 +17,7 @@
 from turmericpost_core.routing.table import RoutingTable
 
 SETTLE_S = 2
+WARM_UP_VALID_S = 1
 
 
 @dataclass(frozen=True)
@@ -36,6 +37,7 @@
     def __init__(self, parts: OwningParts) -> None:
         self.ownership = NO_OWNERSHIP
         self._parts = parts
+        self._refutation = 0
 
     def vms(self) -> tuple[VmFact, ...]:
         """Return the VMs that take new calls.
@@ -56,15 +58,21 @@
         return kept or live
 
     def review(self) -> None:
-        """Follow a change of the view or of the configuration."""
+        """Follow a change of the view or of the configuration.
+
+        A VM that had to deny its loss was replaced for a while, so whatever
+        it owns has to settle again.
+        """
         table = self._parts.table()
         if table is None:
             return
         view = self._parts.view()
         own = view.own.identity
-        self._parts.balancer.allow_warm_up(
-            allowed=view.has_majority(own.region),
-        )
+        self._allow_warm_up(view)
+        if view.own.refutation != self._refutation:
+            self._refutation = view.own.refutation
+            self._parts.balancer.give_up()
+            self.ownership = NO_OWNERSHIP
         ownership = share_out(table.document, self.vms())
         if ownership == self.ownership:
             return
@@ -72,6 +80,14 @@
         self._take_over(own.name, is_alone=len(view.all_facts()) == 1)
         self._parts.tell(ownership)
 
+    def _allow_warm_up(self, view: MembershipView) -> None:
+        """Let cold servers get calls while most of the region is in touch."""
+        now_s = self._parts.clock.monotonic_s()
+        region = view.own.identity.region
+        is_safe = view.has_majority(region) and view.is_in_touch(now_s)
+        until_s = now_s + WARM_UP_VALID_S if is_safe else 0
+        self._parts.balancer.allow_warm_up(until_s)
+
     def _take_over(self, own_name: str, *, is_alone: bool) -> None:
         owned = frozenset(
             address
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -6,7 +6,6 @@
 from random import Random
 from typing import Any
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
@@ -23,12 +22,12 @@
 from turmericpost.peer.service import PeerListeners, new_peer_service
 from turmericpost.peer.stream import PeerListener
 from turmericpost.platform.clients import connect_platform
+from turmericpost.platform.tasks import PlatformTasks
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.settings_groups import Settings
 from turmericpost_core.config.fold import Configuration
 from turmericpost_core.config.service_state import domains_out
 from turmericpost_core.membership.facts import VmFact, VmIdentity, VmState
-from turmericpost_core.membership.ring import owners
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.balancer import Balancer
 from turmericpost_core.routing.facts import Location
@@ -38,9 +37,6 @@
 _DRAIN_CHECK_S = 0.02
 _LAST_ACCEPTS_S = 0.1
 _MS_PER_S = 1000
-_SNAPSHOT_CHECK_S = 2
-_WANTED_SNAPSHOT_S = 5
-_SNAPSHOTS = 'snapshots'
 
 
 class EntryNode:
@@ -56,8 +52,6 @@
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self._is_stopping = False
-        self._is_closed = False
-        self._is_writing_snapshot = False
         self._platform = connect_platform(
             reactor,
             settings.platform,
@@ -66,6 +60,13 @@
             self._install,
         )
         self._build_calls()
+        self._tasks = PlatformTasks(
+            reactor,
+            settings.platform,
+            self._platform,
+            self._own_name(),
+            lambda: self.peers.view,
+        )
 
     @property
     def configuration(self) -> Configuration:
@@ -85,12 +86,7 @@
             loop.clock = self._reactor
             loop.start(interval_s).addErrback(log_failure)
             self._loops.append(loop)
-        for running in (
-            self._follow_list(),
-            self._keep_snapshots(),
-            self._platform.follower.run(),
-        ):
-            Deferred.fromCoroutine(running).addErrback(log_failure)
+        self._tasks.start()
 
     async def stop(self) -> None:
         """Leave: vanish from answers, serve on, finish what is in flight."""
@@ -201,7 +197,7 @@
             peers.lost_after_s,
             PeerListeners(
                 current=lambda: self.configuration,
-                snapshot_wanted=self._write_wanted_snapshot,
+                snapshot_wanted=self._tasks.write_wanted_snapshot,
                 has_gap=lambda: self._platform.follower.has_gap,
                 adopt=self._platform.follower.adopt,
                 view_changed=self._owning.review,
@@ -284,45 +280,6 @@
         if change_utc is not None and self.clock.utc_now() >= change_utc:
             self._install(self.configuration)
 
-    async def _follow_list(self) -> None:
-        """Read the list; a long one less often, within its byte budget."""
-        platform = self._settings.platform
-        while not self._is_closed:
-            size_bytes = await self._read_list()
-            pause_s = size_bytes / platform.vm_list_bytes_per_s
-            pause_s = max(pause_s, platform.vm_list_interval_s)
-            await deferLater(self._reactor, pause_s)
-
-    async def _keep_snapshots(self) -> None:
-        """Write snapshots if this VM is the one that does."""
-        while not self._is_closed:
-            await deferLater(self._reactor, _SNAPSHOT_CHECK_S)
-            names = [fact.identity.name for fact in self._owning.vms()]
-            if owners(_SNAPSHOTS, names, 1) == (self._own_name(),):
-                await self._platform.snapshots.write_if_due()
-
-    def _write_wanted_snapshot(self) -> None:
-        """Write a snapshot that a VM with a gap needs; at most one at once."""
-        if self._is_writing_snapshot:
-            return
-        self._is_writing_snapshot = True
-        writing = Deferred.fromCoroutine(self._write_snapshot())
-        writing.addErrback(log_failure)
-
-    async def _write_snapshot(self) -> None:
-        await self._platform.snapshots.write(_WANTED_SNAPSHOT_S)
-        self._is_writing_snapshot = False
-
-    async def _read_list(self) -> int:
-        listed = await self._platform.vm_list.read()
-        if listed.is_err():
-            detail = listed.unwrap_err().detail
-            log_event(LogEvent.LIST_UNREACHABLE, detail=detail)
-            return 0
-        vms = listed.unwrap()
-        self.peers.view.record_list(vms.listed, vms.leaving)
-        return vms.size_bytes
-
     def _answers_valid_s(self) -> float:
         table = self.forwarder.table
         return 0 if table is None else table.document.limits.answers_valid_s
@@ -339,8 +296,7 @@
             await deferLater(self._reactor, _DRAIN_CHECK_S)
 
     async def _close_rest(self) -> None:
-        self._is_closed = True
-        self._platform.follower.stop()
+        self._tasks.stop()
         for loop in self._loops:
             if loop.running:
                 loop.stop()
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/tasks.py
@@ -0,0 +1,92 @@
+"""What a VM does with the platform all the time: follow, list, snapshot."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost.platform.clients import PlatformClients
+from turmericpost.platform.settings import PlatformSettings
+from turmericpost_core.membership.ring import owners
+from turmericpost_core.membership.view import MembershipView
+
+_SNAPSHOT_CHECK_S = 2
+_WANTED_SNAPSHOT_S = 5
+_SNAPSHOTS = 'snapshots'
+
+
+class PlatformTasks:
+    """Runs until stopped."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: PlatformSettings,
+        clients: PlatformClients,
+        own_name: str,
+        view: Callable[[], MembershipView],
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._clients = clients
+        self._own_name = own_name
+        self._view = view
+        self._is_stopped = False
+        self._is_writing_snapshot = False
+
+    def start(self) -> None:
+        """Begin to follow the log and the VM list, and to write snapshots."""
+        for running in (
+            self._follow_list(),
+            self._keep_snapshots(),
+            self._clients.follower.run(),
+        ):
+            Deferred.fromCoroutine(running).addErrback(log_failure)
+
+    def stop(self) -> None:
+        """End each task at its next step."""
+        self._is_stopped = True
+        self._clients.follower.stop()
+
+    def write_wanted_snapshot(self) -> None:
+        """Write a snapshot that a VM with a gap needs; at most one at once."""
+        if self._is_writing_snapshot:
+            return
+        self._is_writing_snapshot = True
+        writing = Deferred.fromCoroutine(self._write_snapshot())
+        writing.addErrback(log_failure)
+
+    async def _write_snapshot(self) -> None:
+        await self._clients.snapshots.write(_WANTED_SNAPSHOT_S)
+        self._is_writing_snapshot = False
+
+    async def _keep_snapshots(self) -> None:
+        """Write snapshots if this VM is the one that does."""
+        while not self._is_stopped:
+            await deferLater(self._reactor, _SNAPSHOT_CHECK_S)
+            names = [fact.identity.name for fact in self._view().live()]
+            if owners(_SNAPSHOTS, names, 1) == (self._own_name,):
+                await self._clients.snapshots.write_if_due()
+
+    async def _follow_list(self) -> None:
+        """Read the list; a long one less often, within its byte budget."""
+        settings = self._settings
+        while not self._is_stopped:
+            size_bytes = await self._read_list()
+            pause_s = size_bytes / settings.vm_list_bytes_per_s
+            pause_s = max(pause_s, settings.vm_list_interval_s)
+            await deferLater(self._reactor, pause_s)
+
+    async def _read_list(self) -> int:
+        listed = await self._clients.vm_list.read()
+        if listed.is_err():
+            detail = listed.unwrap_err().detail
+            log_event(LogEvent.LIST_UNREACHABLE, detail=detail)
+            return 0
+        vms = listed.unwrap()
+        self._view().record_list(vms.listed, vms.leaving)
+        return vms.size_bytes
