--- a/packages/turmericpost-entry/src/turmericpost/forward/owning.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/owning.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from turmericpost_core.clock import Clock
-from turmericpost_core.membership.facts import VmFact
+from turmericpost_core.membership.facts import VmFact, VmIdentity
 from turmericpost_core.membership.view import MembershipView
 from turmericpost_core.routing.balancer import Balancer
 from turmericpost_core.routing.ownership import (
@@ -38,6 +38,8 @@
         self.ownership = NO_OWNERSHIP
         self._parts = parts
         self._refutation = 0
+        self._shared: tuple[RoutingTable, tuple[VmIdentity, ...]] | None
+        self._shared = None
 
     def vms(self) -> tuple[VmFact, ...]:
         """Return the VMs that take new calls.
@@ -73,7 +75,13 @@
             self._refutation = view.own.refutation
             self._parts.balancer.give_up()
             self.ownership = NO_OWNERSHIP
-        ownership = share_out(table.document, self.vms())
+            self._shared = None
+        vms = self.vms()
+        shared = (table, tuple(fact.identity for fact in vms))
+        if shared == self._shared:
+            return
+        self._shared = shared
+        ownership = share_out(table.document, vms)
         if ownership == self.ownership:
             return
         self.ownership = ownership
--- a/packages/turmericpost-standins/src/turmericpost_standins/experiment/measure_changes.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/experiment/measure_changes.py
@@ -4,7 +4,9 @@
 
 import json
 import time
+import tracemalloc
 from collections.abc import Iterator
+from random import Random
 
 from turmericpost_core.config.decode import (
     document_from_mapping,
@@ -17,7 +19,10 @@
     Service,
 )
 from turmericpost_core.membership.facts import VmFact, VmIdentity
+from turmericpost_core.routing.balancer import Balancer
+from turmericpost_core.routing.facts import CallFacts, Location
 from turmericpost_core.routing.ownership import share_out
+from turmericpost_core.routing.table import RoutingTable
 from turmericpost_standins.experiment.measure import running_cluster
 from turmericpost_standins.experiment.processes import (
     Cluster,
@@ -58,10 +63,26 @@
         yield (
             f'{targets} targets: {len(encoded)} bytes, decode '
             f'{(decoded_s - begun_s) * _MS_PER_S:.0f} ms, ownership among '
-            f'{_VMS} VMs {(shared_s - decoded_s) * _MS_PER_S:.0f} ms'
+            f'{_VMS} VMs {(shared_s - decoded_s) * _MS_PER_S:.0f} ms, '
+            f'{_memory_bytes(encoded)} bytes of memory'
         )
 
 
+def _memory_bytes(encoded: str) -> int:
+    """Return the memory of a document in force with all that routes by it."""
+    tracemalloc.start()
+    document = document_from_mapping(json.loads(encoded)).unwrap()
+    location = Location('domain-0', 'region-0')
+    table = RoutingTable(document, location, frozenset())
+    balancer = Balancer(Random(1))
+    balancer.install(table)
+    for service in document.services:
+        table.route(CallFacts(service.name, 'church', 'GET', '/'))
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return kept
+
+
 def _change(cluster: Cluster) -> float:
     vm = cluster.vms[0]
     document = vm.admin('configuration')['document']
@@ -105,6 +126,7 @@
             )
             for number in range(targets)
         ),
+        allow_unknown_accounts=True,
     )
 
 
