Pace the offers of waiting calls

Cause: under overload every waiting call was offered to every other owner each 8 ms; at 110% load a call travelled 21.9 times between VMs. Change: offers to one VM keep 0.5 ms apart, and a VM that declines is spared for 1, 2, then 4 ms until it takes a call.

--- a/packages/turmericpost-core/src/turmericpost_core/routing/dispatcher.py
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/dispatcher.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from math import ceil
@@ -18,6 +19,7 @@
 from turmericpost_core.limits.waiting import WaitingCalls
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.balancer import Balancer
+from turmericpost_core.routing.offer_pacing import OfferPacing
 from turmericpost_core.routing.ownership import NO_OWNERSHIP, Ownership
 from turmericpost_core.routing.table import Route, RoutingTable
 
@@ -93,6 +95,7 @@
         self._ownership = NO_OWNERSHIP
         self._table: RoutingTable | None = None
         self._waiting: dict[str, WaitingCalls[_Call]] = {}
+        self.pacing = OfferPacing()
         self._owned_by_route: dict[Route, tuple[BackendServer, ...]] = {}
 
     @property
@@ -180,7 +183,7 @@
             if now_s - call.waits_from_s < OFFER_AFTER_S:
                 return None
             if call.can_be_offered and now_s >= call.offer_again_s:
-                name = self._next_owner(call)
+                name = self._next_owner(call, now_s)
                 if name is not None:
                     return call, name
         return None
@@ -221,18 +224,27 @@
             return Refuse(RefusalReason.NO_ELIGIBLE_BACKEND)
         return PassOn(name)
 
-    def _next_owner(self, call: _Call) -> str | None:
-        """Return another owner of fit backend servers, not offered yet."""
-        found: dict[str, int] = {}
-        for backend in call.route.backends:
-            name = self._ownership.owner_of(backend)
-            if name is None or name == self._own_name:
-                continue
-            if name not in call.offered:
-                found[name] = found.get(name, 0) + 1
-        if not found:
+    def _next_owner(
+        self,
+        call: _Call,
+        paced_at_s: float | None = None,
+    ) -> str | None:
+        """Return another owner of fit backend servers, not offered yet.
+
+        With a time, only one that may be offered a call then.
+        """
+        found = Counter(
+            name
+            for name in map(self._ownership.owner_of, call.route.backends)
+            if name is not None and name != self._own_name
+        )
+        fit = [name for name in found if name not in call.offered]
+        if paced_at_s is not None:
+            may_offer = self.pacing.may_offer
+            fit = [name for name in fit if may_offer(name, paced_at_s)]
+        if not fit:
             return None
-        return self._balancer.pick(tuple(found), tuple(found.values()))
+        return self._balancer.pick(fit, [found[name] for name in fit])
 
     def _choose(
         self,
--- a/packages/turmericpost-entry/src/turmericpost/forward/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call.py
@@ -58,6 +58,7 @@
         self._exchange = parts.exchange
         self._answer = parts.answer
         self.offered: set[str] = set()
+        self.offered_to = ''
         self.waits_from_s = self.begun_s
         self.offer_again_s = self.begun_s
         self.is_offered_here = parts.arrived_as is RelayKind.OFFERED
@@ -197,6 +198,8 @@
         if not self._is_over and self._is_turned_down(attempt, kind):
             self._host.turned_down(self, kind)
             return
+        if kind is RelayKind.OFFERED:
+            self._host.offer_taken(self)
         self._ledger = record_attempt(self._ledger, attempt)
         if not self._is_over:
             self._settle(attempt)
--- a/packages/turmericpost-entry/src/turmericpost/forward/call_parts.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call_parts.py
@@ -44,6 +44,9 @@
     ) -> None:
         """Find another place for a call that another VM did not take."""
 
+    def offer_taken(self, call: ForwardedCall) -> None:
+        """Note that another VM took a call offered to it."""
+
     def relay_to_owner(self, call: ForwardedCall, owner: VmFact) -> None:
         """Send a call to the VM that owns its operation key."""
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/call_queue.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call_queue.py
@@ -71,12 +71,17 @@
 
     def offer_refused(self, call: ForwardedCall) -> None:
         """Let a call that another VM did not take wait on, as before."""
+        self._dispatcher.pacing.record_declined(call.offered_to, self._now_s())
         placement = self._dispatcher.place(call, self._now_s())
         if not self._begin(call, placement):
             self._dispatcher.offer_refused(call, self._now_s())
             call.is_waiting = True
             self._recheck_later()
 
+    def offer_taken(self, call: ForwardedCall) -> None:
+        """Note that another VM had a free slot."""
+        self._dispatcher.pacing.record_taken(call.offered_to)
+
     def stop_waiting(self, call: ForwardedCall) -> None:
         """Take a call out of the waiting ones."""
         call.is_waiting = False
@@ -168,6 +173,8 @@
             while found is not None:
                 call, name = found
                 self.stop_waiting(call)
+                call.offered_to = name
+                self._dispatcher.pacing.record_offer(name, self._now_s())
                 self._relay_to(call, name, RelayKind.OFFERED)
                 found = self._dispatcher.next_offer(service, self._now_s())
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
@@ -176,6 +176,10 @@
         """Send a call to the VM that owns its operation key."""
         self._queue.relay(call, owner, RelayKind.KEY)
 
+    def offer_taken(self, call: ForwardedCall) -> None:
+        """Note that another VM took a call offered to it."""
+        self._queue.offer_taken(call)
+
     def turned_down(
         self,
         call: ForwardedCall,
--- a/packages/turmericpost-standins/src/turmericpost_standins/bench/owners_policy.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/bench/owners_policy.py
@@ -88,11 +88,12 @@
             self._recheck_later()
         return True
 
-    def offer_refused(self, call: SimCall) -> None:
+    def offer_refused(self, call: SimCall, name: str) -> None:
         """Let a call that another VM did not take wait on."""
         call.is_offered_here = False
+        now_s = self._policy.loop.now_s
+        self.dispatcher.pacing.record_declined(name, now_s)
         if not self.take_back(call):
-            now_s = self._policy.loop.now_s
             self.dispatcher.offer_refused(call, now_s)
             self._recheck_later()
 
@@ -159,6 +160,7 @@
             call, name = found
             self.dispatcher.stop_waiting(call)
             call.offered.add(name)
+            self.dispatcher.pacing.record_offer(name, now_s)
             self._policy.offer(call, self, name)
             found = self.dispatcher.next_offer(_SERVICE, now_s)
 
@@ -242,10 +244,14 @@
 
     def _offered(self, call: SimCall, offering: SimVm, name: str) -> None:
         if self._vms[name].take(call):
+            self.loop.after(
+                self._workload.mean_service_s,
+                lambda: offering.dispatcher.pacing.record_taken(name),
+            )
             return
         self.loop.after(
             self._workload.vm_delay_s,
-            lambda: offering.offer_refused(call),
+            lambda: offering.offer_refused(call, name),
         )
 
 
