--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the operator and the backend servers say of themselves."""
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
@@ -0,0 +1,202 @@
+"""Entry VMs that this VM hears, by failure domain.
+
+Inside a failure domain every VM hears every other. Of the other domains a
+VM knows what one VM of theirs tells: a digest of who is there and ready.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import IntEnum
+
+from turmericpost_core.membership.ring import owners
+
+LOST_AFTER_S = 1.1
+"""Silence after which a VM counts as lost: four heartbeats in a row."""
+
+DIGEST_VALID_S = 4.0
+"""Age up to which the digest of a domain holds: four digests in a row."""
+
+REMEMBERED_S = 120.0
+"""Time that a silent VM is still called, so that a healed cut is noticed."""
+
+
+class VmStanding(IntEnum):
+    """Whether a VM takes calls."""
+
+    STARTING = 0
+    READY = 1
+    LEAVING = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """An entry VM; ``started_ms`` tells its incarnations apart."""
+
+    name: str
+    host: str
+    peer_port: int
+    caller_address: str
+    failure_domain: str
+    region: str
+    started_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class DomainDigest:
+    """The VMs of a failure domain as one of them hears them."""
+
+    failure_domain: str
+    made_s: float
+    vms: tuple[tuple[Vm, VmStanding], ...]
+
+
+@dataclass(slots=True)
+class _Heard:
+    vm: Vm
+    standing: VmStanding
+    heard_s: float
+    told_s: float
+
+
+class DomainView:
+    """What one VM knows of the others; times are its monotonic seconds."""
+
+    def __init__(self, own: Vm) -> None:
+        self.own = own
+        self.own_standing = VmStanding.STARTING
+        self._heard: dict[str, _Heard] = {}
+        self._digests: dict[str, DomainDigest] = {}
+        self._live: frozenset[str] = frozenset()
+
+    def heard(self, vm: Vm, standing: VmStanding, now_s: float) -> bool:
+        """Take a heartbeat; return whether the VM or its start is new."""
+        if vm.name == self.own.name:
+            return False
+        known = self._heard.get(vm.name)
+        is_new = known is None or vm.started_ms > known.vm.started_ms
+        if not is_new and known is not None:
+            if vm.started_ms < known.vm.started_ms:
+                return False
+        self._heard[vm.name] = _Heard(vm, standing, now_s, now_s)
+        return is_new
+
+    def told(self, vms: Iterable[Vm], now_s: float) -> None:
+        """Take VMs that another one knows; they are called, not trusted."""
+        for vm in vms:
+            known = self._heard.get(vm.name)
+            if vm.name == self.own.name:
+                continue
+            if known is None or known.vm.started_ms < vm.started_ms:
+                silent_s = now_s - 2 * LOST_AFTER_S
+                self._heard[vm.name] = _Heard(
+                    vm,
+                    VmStanding.STARTING,
+                    silent_s,
+                    now_s,
+                )
+
+    def take_digest(self, digest: DomainDigest) -> None:
+        """Take the digest of another domain unless a newer one is known."""
+        known = self._digests.get(digest.failure_domain)
+        if known is None or digest.made_s > known.made_s:
+            self._digests[digest.failure_domain] = digest
+
+    def review(self, now_s: float) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the names that became live and those that were lost."""
+        live = frozenset(
+            name
+            for name, heard in self._heard.items()
+            if now_s - heard.heard_s <= LOST_AFTER_S
+            and heard.vm.failure_domain == self.own.failure_domain
+        )
+        gained, lost = live - self._live, self._live - live
+        self._live = live
+        for name, heard in tuple(self._heard.items()):
+            last_s = max(heard.heard_s, heard.told_s)
+            if now_s - last_s > REMEMBERED_S:
+                self._heard.pop(name)
+        return gained, lost
+
+    def called(self, failure_domain: str) -> tuple[Vm, ...]:
+        """Return every other VM of a domain that heartbeats go to."""
+        return tuple(
+            heard.vm
+            for heard in self._heard.values()
+            if heard.vm.failure_domain == failure_domain
+        )
+
+    def known(self) -> tuple[Vm, ...]:
+        """Return every VM known, this one first."""
+        others = tuple(heard.vm for heard in self._heard.values())
+        digested = tuple(
+            vm
+            for digest in self._digests.values()
+            for vm, _ in digest.vms
+            if vm.name not in self._heard
+        )
+        return (self.own, *others, *digested)
+
+    def members(self, now_s: float) -> tuple[tuple[Vm, VmStanding], ...]:
+        """Return the live VMs of the own domain with their standing."""
+        domain = self.own.failure_domain
+        heard = tuple(
+            (one.vm, one.standing)
+            for one in self._heard.values()
+            if one.vm.failure_domain == domain
+            and now_s - one.heard_s <= LOST_AFTER_S
+        )
+        return ((self.own, self.own_standing), *heard)
+
+    def in_domain(
+        self,
+        failure_domain: str,
+        now_s: float,
+    ) -> tuple[tuple[Vm, VmStanding], ...]:
+        """Return the VMs of a domain as far as they are known to live."""
+        if failure_domain == self.own.failure_domain:
+            return self.members(now_s)
+        digest = self._digests.get(failure_domain)
+        if digest is None or now_s - digest.made_s > DIGEST_VALID_S:
+            return ()
+        return digest.vms
+
+    def ready(self, failure_domain: str, now_s: float) -> tuple[Vm, ...]:
+        """Return the VMs of a domain that take calls."""
+        return tuple(
+            vm
+            for vm, standing in self.in_domain(failure_domain, now_s)
+            if standing is VmStanding.READY
+        )
+
+    def ranked(
+        self,
+        subject: str,
+        failure_domain: str,
+        now_s: float,
+    ) -> tuple[Vm, ...]:
+        """Return the VMs to turn to for a subject, the first one first.
+
+        VMs that are leaving come after all others; this one is the last
+        resort for a domain without any.
+        """
+        found = self.in_domain(failure_domain, now_s)
+        staying = _ranked(subject, found, is_leaving=False)
+        leaving = _ranked(subject, found, is_leaving=True)
+        return (*staying, *leaving) or (self.own,)
+
+
+def _ranked(
+    subject: str,
+    found: Iterable[tuple[Vm, VmStanding]],
+    *,
+    is_leaving: bool,
+) -> tuple[Vm, ...]:
+    by_name: Mapping[str, Vm] = {
+        vm.name: vm
+        for vm, standing in found
+        if (standing is VmStanding.LEAVING) == is_leaving
+    }
+    names = owners(subject, by_name, len(by_name))
+    return tuple(by_name[name] for name in names)
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_turns.py
@@ -0,0 +1,62 @@
+"""Which VMs of a failure domain read the store."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ReadPace:
+    """How often the store is read, and when another VM takes over.
+
+    Both are shares of the time within which a drain must be in force.
+    """
+
+    period_s: float
+    stale_after_s: float
+
+
+PERIOD_SHARE = 0.3
+"""Period of reading as a share of the drain bound.
+
+Three reads, one of them lost, fit into the bound.
+"""
+
+STALE_SHARE = 0.42
+"""Age at which the next VM begins to read, as a share of the drain bound.
+
+A period, a heartbeat and a read; what is left of the bound is the take-over.
+"""
+
+SLOWEST_RETRY_S = 2.0
+"""Longest pause after failed reads, since refused calls are billed too."""
+
+
+def new_read_pace(drain_bound_s: float) -> ReadPace:
+    """Return the pace that keeps a drain bound."""
+    return ReadPace(PERIOD_SHARE * drain_bound_s, STALE_SHARE * drain_bound_s)
+
+
+def is_reader(
+    ranked: tuple[str, ...],
+    own_name: str,
+    read_ages_s: Mapping[str, float],
+    pace: ReadPace,
+) -> bool:
+    """Return whether this VM should read the store.
+
+    The first in rank always reads; a later one only while what all before
+    it have read is too old.
+    """
+    for name in ranked:
+        if name == own_name:
+            return True
+        if read_ages_s.get(name, float('inf')) <= pace.stale_after_s:
+            return False
+    return True
+
+
+def retry_pause_s(failures: int, pace: ReadPace) -> float:
+    """Return the pause after some failed reads in a row."""
+    return min(pace.period_s * 2 ** max(failures - 2, 0), SLOWEST_RETRY_S)
--- a/packages/turmericpost-entry/src/turmericpost/admin/publishing.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/publishing.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from turmericpost.admin.views import AdminState, change_view
-from turmericpost.platform.publisher import PublishError, PublishErrorKind
+from turmericpost.configlog.publisher import PublishError, PublishErrorKind
 from turmericpost_core.config.decode import (
     DocumentFormat,
     DocumentText,
--- a/packages/turmericpost-entry/src/turmericpost/admin/views.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/views.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from turmericpost.observe.metrics import Metrics
-from turmericpost.platform.publisher import Publisher
+from turmericpost.configlog.publisher import Publisher
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_core.config.document import BackendServer
--- a/packages/turmericpost-entry/src/turmericpost/platform/clients.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/clients.py
@@ -7,16 +7,16 @@
 from typing import Any
 
 from turmericpost.observe.metrics import Metrics
-from turmericpost.platform.follower import (
+from turmericpost.configlog.follower import (
     ConfigurationFollower,
     ConfigurationListener,
 )
-from turmericpost.platform.http import PlatformHttp
-from turmericpost.platform.log_client import LogClient
-from turmericpost.platform.publisher import Publisher
-from turmericpost.platform.settings import PlatformSettings
-from turmericpost.platform.snapshots import SnapshotWriter
-from turmericpost.platform.vm_list import VmListClient
+from turmericpost.configlog.http import PlatformHttp
+from turmericpost.configlog.log_client import LogClient
+from turmericpost.configlog.publisher import Publisher
+from turmericpost.configlog.settings import PlatformSettings
+from turmericpost.configlog.snapshots import SnapshotWriter
+from turmericpost.configlog.vm_list import VmListClient
 from turmericpost_core.clock import Clock
 
 
--- a/packages/turmericpost-entry/src/turmericpost/platform/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import deferLater
 
 from turmericpost.observe.events import LogEvent, log_event
-from turmericpost.platform.log_client import (
+from turmericpost.configlog.log_client import (
     LogBatch,
     LogClient,
     LogError,
--- a/packages/turmericpost-entry/src/turmericpost/platform/log_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/log_client.py
@@ -11,7 +11,7 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.platform.http import (
+from turmericpost.configlog.http import (
     PlatformAnswer,
     PlatformErrorKind,
     PlatformHttp,
--- a/packages/turmericpost-entry/src/turmericpost/platform/publisher.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/publisher.py
@@ -8,13 +8,13 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.platform.follower import ConfigurationFollower
-from turmericpost.platform.log_client import (
+from turmericpost.configlog.follower import ConfigurationFollower
+from turmericpost.configlog.log_client import (
     LogClient,
     LogError,
     LogErrorKind,
 )
-from turmericpost.platform.snapshots import SnapshotWriter
+from turmericpost.configlog.snapshots import SnapshotWriter
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_core.config.document import Document
--- a/packages/turmericpost-entry/src/turmericpost/platform/vm_list.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/vm_list.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.platform.http import PlatformHttp
+from turmericpost.configlog.http import PlatformHttp
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What entry VMs know together: peers, configuration, backend servers."""
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -0,0 +1,212 @@
+"""Reading of the store by the VM whose turn it is in its failure domain."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Result
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from turmericpost.fleet.store import (
+    FleetStore,
+    InvalidRecord,
+    OperatorRecords,
+    Registrations,
+    StoreError,
+    StoreErrorKind,
+)
+from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost_core.clock import Clock
+from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.membership.store_turns import ReadPace, retry_pause_s
+
+_IDLE_CHECK_S = 0.1
+
+
+@dataclass(frozen=True)
+class ReaderListeners:
+    """What the reader asks and tells.
+
+    ``changed`` learns of new knowledge, ``is_reader`` says whose turn it is.
+    """
+
+    is_reader: Callable[[], bool]
+    changed: Callable[[str], None]
+
+
+class StoreReader:
+    """Follows the registry and the operator's records while it is its turn."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        store: FleetStore,
+        state: FleetState,
+        pace: ReadPace,
+        listeners: ReaderListeners,
+    ) -> None:
+        self.read_s = float('-inf')
+        self._reactor = reactor
+        self._clock = clock
+        self._store = store
+        self._state = state
+        self._pace = pace
+        self._listeners = listeners
+        self._failures = 0
+        self._lists_backends = False
+        self._lists_operator = False
+        self._is_reading = False
+        self._is_running = False
+        self._logged: set[tuple[str, str]] = set()
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._is_running = True
+        for loop in (self._follow_backends, self._follow_operator):
+            Deferred.fromCoroutine(loop()).addErrback(log_failure)
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._is_running = False
+        self._store.stop_watching()
+
+    async def _follow_backends(self) -> None:
+        while self._is_running:
+            if self._takes_turn():
+                begun_s = self._clock.monotonic_s()
+                is_ok = await self._read_backends()
+                if is_ok:
+                    self.read_s = begun_s
+                pause_s = self._pace.period_s
+                if self._failures:
+                    pause_s = retry_pause_s(self._failures, self._pace)
+                await self._sleep(pause_s)
+            else:
+                await self._sleep(_IDLE_CHECK_S)
+
+    async def _follow_operator(self) -> None:
+        while self._is_running:
+            if not self._listeners.is_reader():
+                await self._sleep(_IDLE_CHECK_S)
+            elif not await self._read_operator():
+                pause_s = retry_pause_s(self._failures + 1, self._pace)
+                await self._sleep(pause_s)
+
+    def _takes_turn(self) -> bool:
+        """Return whether to read now; a reader that ends its turn is told."""
+        is_reader = self._listeners.is_reader()
+        if is_reader != self._is_reading:
+            self._is_reading = is_reader
+            log_event(LogEvent.READER_CHANGED, is_reader=is_reader)
+            if not is_reader:
+                self._store.stop_watching()
+        return is_reader
+
+    async def _read_backends(self) -> bool:
+        directory = self._state.directory
+        is_listing = self._lists_backends or not directory.next_offset
+        if is_listing:
+            read = await self._store.list_backends()
+        else:
+            read = await self._store.read_backends(directory.next_offset)
+        if read.is_err():
+            self._failed(read.unwrap_err())
+            return False
+        self._recovered()
+        self._take_backends(read.unwrap(), is_listing=is_listing)
+        return True
+
+    def _take_backends(self, read: Registrations, *, is_listing: bool) -> None:
+        self._lists_backends = False
+        self._log_invalid(read.invalid)
+        directory = self._state.directory
+        now_s = self._clock.monotonic_s()
+        if is_listing:
+            changed = directory.resync(read.records, read.next_offset, now_s)
+        else:
+            changed = directory.fold(read.records, now_s)
+            directory.next_offset = max(
+                directory.next_offset,
+                read.next_offset,
+            )
+        if changed:
+            self._listeners.changed('registry')
+
+    async def _read_operator(self) -> bool:
+        offset = self._state.operator_offset
+        is_listing = self._lists_operator or not offset
+        if is_listing:
+            read = await self._store.list_operator()
+        else:
+            read = await self._store.watch_operator(offset)
+        if read.is_err():
+            return self._operator_failed(read)
+        self._take_operator(read.unwrap(), is_listing=is_listing)
+        return True
+
+    def _operator_failed(
+        self,
+        read: Result[OperatorRecords, StoreError],
+    ) -> bool:
+        error = read.unwrap_err()
+        if error.kind is StoreErrorKind.EXPIRED:
+            self._lists_operator = True
+            log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
+            return True
+        return False
+
+    def _take_operator(
+        self,
+        read: OperatorRecords,
+        *,
+        is_listing: bool,
+    ) -> None:
+        self._lists_operator = False
+        self._log_invalid(read.invalid)
+        fold = self._state.fold_operator
+        if is_listing:
+            fold = self._state.resync_operator
+        if fold(read.records, read.next_offset):
+            self._listeners.changed('operator')
+
+    def _failed(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.EXPIRED:
+            self._lists_backends = True
+            log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
+            return
+        self._failures += 1
+        if self._failures == 1:
+            log_event(
+                LogEvent.STORE_UNREACHABLE,
+                kind=error.kind.value,
+                detail=error.detail,
+            )
+
+    def _recovered(self) -> None:
+        """Note the first answer after failures: lapsed entries may return."""
+        if not self._failures:
+            return
+        log_event(LogEvent.STORE_REACHABLE, failures=self._failures)
+        self._failures = 0
+        self._state.directory.store_returned(self._clock.monotonic_s())
+        self._store.stop_watching()
+
+    def _log_invalid(self, invalid: tuple[InvalidRecord, ...]) -> None:
+        """Log a record that can't be used, once for its key and reason."""
+        for record in invalid:
+            what = (record.key, record.detail)
+            if what not in self._logged:
+                self._logged.add(what)
+                log_event(
+                    LogEvent.RECORD_INVALID,
+                    key=record.key,
+                    offset=record.offset,
+                    detail=record.detail,
+                )
+
+    def _sleep(self, pause_s: float) -> Awaitable[None]:
+        return deferLater(self._reactor, pause_s)
--- a/packages/turmericpost-entry/src/turmericpost/forward/assembly.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/assembly.py
@@ -13,7 +13,7 @@
 from turmericpost.forward.settings import ForwardSettings
 from turmericpost.forward.well_known import AddressAnswers
 from turmericpost.observe.metrics import Metrics
-from turmericpost.platform.log_client import LogClient
+from turmericpost.configlog.log_client import LogClient
 from turmericpost_core.routing.balancer import Balancer
 
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
@@ -112,6 +112,10 @@
         """End the attempt: nothing was sent."""
         self._finish(AttemptResult.FAILURE, AttemptEnd.CONNECT_FAILED)
 
+    def is_foreign(self, head: ResponseHead) -> bool:
+        """Return false: these answers carry no id of their call."""
+        return False
+
     def answer_head(self, head: ResponseHead) -> None:
         """Judge the head and pass it on."""
         now_s = self._tools.clock.monotonic_s()
--- a/packages/turmericpost-entry/src/turmericpost/forward/claims.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/claims.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.platform.log_client import (
+from turmericpost.configlog.log_client import (
     LogClient,
     LogError,
     LogErrorKind,
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -0,0 +1,396 @@
+"""The way of one call: seek a permit, send, judge, repeat or answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import Protocol as Interface
+
+from turmericpost.forward.request_body import RequestBody
+from turmericpost.gateway.attempt import Attempt, AttemptTools, HeldAnswer
+from turmericpost.gateway.connections import (
+    IDLE_REUSE_S,
+    UNREPEATABLE_IDLE_REUSE_S,
+)
+from turmericpost.gateway.permit_desk import Permit, Wish
+from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.http1.client import BackendConnection
+from turmericpost.http1.exchange import Exchange
+from turmericpost.http1.heads import (
+    CONTENT_LENGTH,
+    end_to_end,
+)
+from turmericpost_core.fleet.operator_config import OperatorRoute
+from turmericpost_core.grants.permits import AskEnd
+from turmericpost_core.outcome.next_step import (
+    NextStep,
+    SendEnd,
+    SendRecord,
+    failure_step,
+    next_step,
+    record_send,
+)
+from turmericpost_core.outcome.reasons import RefusalReason
+
+KEPT_BODY_BYTES = 65536
+"""Size up to which a request is held until it is whole before it is sent,
+and can be sent again: nearly three times the largest usual request."""
+
+WAITING_BODY_BYTES = 262144
+"""Size at which reading from the caller pauses until a permit is there."""
+
+DEADLINE_MARGIN_S = 0.005
+"""Time by which the answer at a deadline goes out before it."""
+
+_FRAMING = frozenset((CONTENT_LENGTH,))
+
+
+@dataclass(frozen=True, slots=True)
+class CallFacts:
+    """What is known of a call when it arrives; monotonic seconds."""
+
+    call_id: str
+    route: OperatorRoute
+    service: str
+    arrived_s: float
+    objective_at_s: float
+    deadline_at_s: float
+
+
+class CallHost(Interface):
+    """The VM as a call sees it."""
+
+    @property
+    def tools(self) -> AttemptTools:
+        """What attempts need."""
+
+    @property
+    def reactor(self) -> Any:
+        """Source of timers."""
+
+    def domains(self, facts: CallFacts) -> tuple[str, ...]:
+        """Return the failure domains to try, the nearest first."""
+
+    def ask(self, wish: Wish, call: GatewayCall) -> None:
+        """Ask for a permit."""
+
+    def cancel_ask(self, ask_id: str) -> None:
+        """Take back an ask."""
+
+    def onward_head(
+        self,
+        exchange: Exchange,
+        backend_id: str,
+        time_left_s: float,
+    ) -> bytes:
+        """Return the head as it goes to a backend server."""
+
+    def call_answered(self, call: GatewayCall, status: int) -> None:
+        """Note a call that got an answer of a backend server."""
+
+    def call_refused(self, call: GatewayCall, refusal: Refusal) -> None:
+        """Note a call that got an answer of this VM."""
+
+    def call_cancelled(self, call: GatewayCall) -> None:
+        """Note a call whose caller went away."""
+
+    def send_failed(
+        self,
+        call: GatewayCall,
+        attempt: Attempt,
+        end: SendEnd,
+        cause: str,
+    ) -> None:
+        """Note a send without a whole answer."""
+
+
+class GatewayCall:
+    """A call from its head to its answer."""
+
+    def __init__(
+        self,
+        host: CallHost,
+        exchange: Exchange,
+        facts: CallFacts,
+    ) -> None:
+        self.facts = facts
+        self.record = SendRecord(
+            facts.route.is_idempotent,
+            facts.route.max_attempts,
+        )
+        self.last_permit: Permit | None = None
+        self._host = host
+        self._exchange = exchange
+        self._body = RequestBody(
+            chunked=exchange.head.content_length is None,
+            max_kept_bytes=KEPT_BODY_BYTES,
+            max_waiting_bytes=WAITING_BODY_BYTES,
+        )
+        self._ask_id: str | None = None
+        self._attempt: Attempt | None = None
+        self._tried: set[str] = set()
+        self._domains: list[str] = []
+        self._home_domain: str | None = None
+        self._fallback: HeldAnswer | None = None
+        self._last_cause = RefusalReason.CONNECTION_LOST
+        self._is_streaming = False
+        self._is_over = False
+        self._timer: Any = None
+
+    @property
+    def call_id(self) -> str:
+        """Id that the caller gave the call."""
+        return self.facts.call_id
+
+    def begin(self) -> None:
+        """Take the body, and look for a backend server once it is here."""
+        left_s = self.facts.deadline_at_s - self._now_s() - DEADLINE_MARGIN_S
+        self._timer = self._host.reactor.callLater(
+            max(left_s, 0),
+            self._deadline_passed,
+        )
+        self._exchange.accept_body(self)
+
+    def body_received(self, body: bytes) -> None:
+        """Keep or send a part of the body."""
+        self._body.add(body)
+        if self._body.waiting_bytes > KEPT_BODY_BYTES:
+            self._seek_once()
+        if self._body.waiting_bytes > self._body.max_waiting_bytes:
+            self._exchange.pause_body()
+
+    def body_complete(self) -> None:
+        """Send the end of the body, or look for a backend server."""
+        self._body.complete()
+        self._seek_once()
+
+    def body_failed(self, reason: RefusalReason) -> None:
+        """Give the call up: its body can't be received."""
+        self._stop()
+        self._refuse(Refusal(reason))
+
+    def caller_gone(self) -> None:
+        """Cancel the work that nobody waits for."""
+        if not self._is_over:
+            self._stop()
+            self._close()
+            self._host.call_cancelled(self)
+
+    def pause_answer(self) -> None:
+        """Stop reading the answer: the caller reads slowly."""
+        if self._attempt is not None:
+            self._attempt.pause_answer()
+
+    def resume_answer(self) -> None:
+        """Go on reading the answer."""
+        if self._attempt is not None:
+            self._attempt.resume_answer()
+
+    def permitted(self, permit: Permit) -> None:
+        """Send the call."""
+        self._ask_id = None
+        self.last_permit = permit
+        attempt = Attempt(self, permit, self._host.tools)
+        self._attempt = attempt
+        is_repeatable = self.facts.route.is_idempotent
+        idle_s = IDLE_REUSE_S if is_repeatable else UNREPEATABLE_IDLE_REUSE_S
+        attempt.start(idle_s)
+
+    def denied(self, end: AskEnd, retry_after_s: float) -> None:
+        """Try another failure domain, or refuse."""
+        self._ask_id = None
+        if end in {AskEnd.REPEAT_BUDGET, AskEnd.DEADLINE}:
+            self._fail(retry_after_s)
+        elif self._domains:
+            self._ask(self._domains.pop(0), is_last=False)
+        elif self._home_domain is not None:
+            domain = self._home_domain
+            self._home_domain = None
+            self._ask(domain, is_last=True)
+        else:
+            self._fail(retry_after_s)
+
+    def write_request(
+        self,
+        connection: BackendConnection,
+        backend_id: str,
+    ) -> bool:
+        """Write the head, then the body as far as it is there."""
+        left_s = self.facts.deadline_at_s - self._now_s()
+        head = self._host.onward_head(self._exchange, backend_id, left_s)
+        connection.write(head + self._body.attach(connection))
+        self._exchange.resume_body()
+        return True
+
+    def request_is_sent(self) -> bool:
+        """Return whether the whole request has been written."""
+        return self._body.is_complete
+
+    def attempt_answered(self, attempt: Attempt, answer: HeldAnswer) -> None:
+        """Deliver the answer, or send the call again."""
+        self._ended(attempt, SendEnd.ANSWERED)
+        if self._is_streaming:
+            self._close()
+            self._host.call_answered(self, answer.facts.status)
+            self._exchange.send_end()
+            return
+        step = next_step(self.record, SendEnd.ANSWERED, answer.facts.status)
+        if step is NextStep.REPEAT_OR_DELIVER and self._body.is_replayable:
+            self._fallback = answer
+            self._repeat(attempt, SendEnd.ANSWERED, 'server-error')
+        else:
+            self._deliver(answer)
+
+    def attempt_streams(self, attempt: Attempt, answer: HeldAnswer) -> bool:
+        """Begin to pass on an answer too long to hold."""
+        self._is_streaming = True
+        headers = end_to_end(answer.headers, _FRAMING)
+        status = answer.facts.status
+        self._exchange.send_head(status, headers, answer.content_length)
+        self._exchange.send_body(answer.body)
+        return True
+
+    def attempt_part(self, attempt: Attempt, body: bytes) -> None:
+        """Pass on a part of a long answer."""
+        self._exchange.send_body(body)
+
+    def attempt_failed(
+        self,
+        attempt: Attempt,
+        end: SendEnd,
+        cause: str,
+    ) -> None:
+        """Send the call again or fail truthfully."""
+        self._ended(attempt, end)
+        if self._is_streaming:
+            self._close()
+            reason = RefusalReason.TRUNCATED_ANSWER
+            self._host.call_refused(self, Refusal(reason))
+            self._exchange.abort()
+            return
+        step = next_step(self.record, end)
+        if step is NextStep.REPEAT and self._body.is_replayable:
+            self._repeat(attempt, end, cause)
+        else:
+            self._host.send_failed(self, attempt, end, cause)
+            self._fail(0)
+
+    def pause_request(self) -> None:
+        """Stop reading the body: the server reads slowly."""
+        self._exchange.pause_body()
+
+    def resume_request(self) -> None:
+        """Go on reading the body."""
+        self._exchange.resume_body()
+
+    def _now_s(self) -> float:
+        return self._host.tools.clock.monotonic_s()
+
+    def _seek_once(self) -> None:
+        idle = self._ask_id is None and self._attempt is None
+        if idle and not self._is_over and not self.record.sends:
+            self._seek()
+
+    def _seek(self) -> None:
+        """Ask the nearest failure domain first."""
+        domains = list(self._host.domains(self.facts))
+        if not domains:
+            self._fail(0)
+            return
+        first = domains.pop(0)
+        self._domains = domains
+        self._home_domain = first if domains else None
+        self._ask(first, is_last=not domains, is_first=True)
+
+    def _ask(
+        self,
+        domain: str,
+        *,
+        is_last: bool,
+        is_first: bool = False,
+    ) -> None:
+        facts = self.facts
+        wish = Wish(
+            service=facts.service,
+            failure_domain=domain,
+            rank=facts.route.rank,
+            arrived_s=facts.arrived_s,
+            objective_at_s=facts.objective_at_s,
+            deadline_at_s=facts.deadline_at_s,
+            is_repeat=self.record.is_repeat,
+            may_wait=is_last or is_first,
+            may_leave=is_first and not is_last,
+            excluded=frozenset(self._tried),
+        )
+        self._host.ask(wish, self)
+
+    def asked(self, ask_id: str) -> None:
+        """Keep the id of an ask that has no answer yet."""
+        self._ask_id = ask_id
+
+    def _repeat(self, attempt: Attempt, end: SendEnd, cause: str) -> None:
+        self._host.send_failed(self, attempt, end, cause)
+        self._tried.add(attempt.permit.backend.backend_id)
+        self._seek()
+
+    def _ended(self, attempt: Attempt, end: SendEnd) -> None:
+        self._attempt = None
+        self._body.detach()
+        self.record = record_send(self.record, end)
+
+    def _deliver(self, answer: HeldAnswer) -> None:
+        self._close()
+        self._host.call_answered(self, answer.facts.status)
+        headers = end_to_end(answer.headers, _FRAMING)
+        status = answer.facts.status
+        if answer.has_body:
+            self._exchange.send_whole(status, headers, answer.body)
+        else:
+            self._exchange.send_bodiless(status, headers)
+
+    def _fail(self, retry_after_s: float) -> None:
+        """Answer truthfully that there is no answer of a server."""
+        if self._fallback is not None:
+            self._deliver(self._fallback)
+        elif failure_step(self.record) is NextStep.FAIL_UNKNOWN:
+            self._refuse(Refusal(RefusalReason.CONNECTION_LOST))
+        else:
+            reason = RefusalReason.NO_FREE_SLOT
+            self._refuse(Refusal(reason, retry_after_s))
+
+    def _deadline_passed(self) -> None:
+        attempt = self._attempt
+        was_sent = attempt is not None and attempt.sent_s is not None
+        if attempt is not None:
+            attempt.give_up()
+        self._stop()
+        if self._is_streaming:
+            self._close()
+            self._exchange.abort()
+        elif self._fallback is not None:
+            self._deliver(self._fallback)
+        elif was_sent or self.record.may_have_run:
+            self._refuse(Refusal(RefusalReason.DEADLINE_EXCEEDED))
+        else:
+            self._refuse(Refusal(RefusalReason.NO_FREE_SLOT, 0))
+
+    def _stop(self) -> None:
+        """Take back what is under way."""
+        if self._ask_id is not None:
+            self._host.cancel_ask(self._ask_id)
+            self._ask_id = None
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._attempt = None
+
+    def _refuse(self, refusal: Refusal) -> None:
+        if self._is_over:
+            return
+        self._close()
+        self._host.call_refused(self, refusal)
+        refuse(self._exchange, refusal)
+
+    def _close(self) -> None:
+        self._is_over = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/endpoints.py
@@ -0,0 +1,81 @@
+"""Small endpoints of the VM: addresses for callers, readiness, metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from turmericpost.gateway.dialect import Dialect
+from turmericpost.gateway.gateway_metrics import GatewayCollector
+from turmericpost.http1.exchange import Exchange
+from turmericpost_core.clock import Clock
+from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.membership.address_choice import (
+    allowed_regions,
+    choose_vms,
+)
+from turmericpost_core.membership.domain_view import DomainView
+
+ANSWER_VALID_S = 1.0
+"""Time for which callers keep an answer; some keep it three times as long,
+and a VM that leaves must be out of all of them well before it ends."""
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_JSON = (b'content-type', b'application/json')
+_TEXT = (b'content-type', b'text/plain; version=0.0.4')
+
+
+@dataclass(frozen=True)
+class Endpoints:
+    """Answers questions about this VM and where to connect."""
+
+    dialect: Dialect
+    clock: Clock
+    view: DomainView
+    state: FleetState
+    domain_regions: Mapping[str, str]
+    is_ready: Callable[[], bool]
+    collector: GatewayCollector
+
+    def begin(self, exchange: Exchange) -> None:
+        """Answer a question."""
+        head = exchange.head
+        question = self.dialect.read_address_question(head)
+        if exchange.failure is not None:
+            exchange.send_whole(_NOT_FOUND, [], b'')
+        elif question is not None:
+            self._answer_addresses(
+                exchange,
+                question.host,
+                question.failure_domain,
+            )
+        elif self.dialect.is_readiness_question(head):
+            status = _OK if self.is_ready() else _UNAVAILABLE
+            exchange.send_whole(status, [], b'')
+        elif self.dialect.is_metrics_question(head):
+            exchange.send_whole(_OK, [_TEXT], self.collector.exposition())
+        else:
+            exchange.send_whole(_NOT_FOUND, [], b'')
+
+    def _answer_addresses(
+        self,
+        exchange: Exchange,
+        host: str,
+        failure_domain: str,
+    ) -> None:
+        regions = frozenset(self.domain_regions.values())
+        found = choose_vms(
+            self.view,
+            self.domain_regions,
+            failure_domain,
+            allowed_regions(self.state.routes.of_host(host), regions),
+            self.clock.monotonic_s(),
+        )
+        if not found:
+            exchange.send_whole(_UNAVAILABLE, [], b'')
+            return
+        addresses = tuple(vm.caller_address for vm in found)
+        body = self.dialect.address_answer(addresses, ANSWER_VALID_S)
+        exchange.send_whole(_OK, [_JSON], body)
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
@@ -0,0 +1,109 @@
+"""Counters and histograms of an entry VM with permits."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+
+from turmericpost.observe.histogram import new_histogram
+from turmericpost_core.outcome.reasons import RefusalReason
+
+_US_PER_S = 1_000_000
+_PERCENTILES = (50, 90, 99, 99.9)
+_PERCENT = 100
+
+
+class GatewayMetrics:
+    """Counts since the start of the process."""
+
+    def __init__(self) -> None:
+        self.calls_begun = 0
+        self.answered: Counter[int] = Counter()
+        self.refusals: Counter[RefusalReason] = Counter()
+        self.sends_failed: Counter[str] = Counter()
+        self.latency_us = new_histogram()
+
+    def record_answered(self, latency_s: float, status: int) -> None:
+        """Count a call that a backend server answered."""
+        self.answered[status] += 1
+        self.latency_us.record_value(max(int(latency_s * _US_PER_S), 1))
+
+
+class GatewayCollector:
+    """Turns the counts into metric families."""
+
+    def __init__(
+        self,
+        metrics: GatewayMetrics,
+        gauges: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self._metrics = metrics
+        self._gauges = gauges
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric family."""
+        metrics = self._metrics
+        yield CounterMetricFamily(
+            'turmericpost_calls',
+            'Calls that arrived.',
+            value=metrics.calls_begun,
+        )
+        yield _by_label(
+            'answered',
+            'status',
+            {str(one): count for one, count in metrics.answered.items()},
+        )
+        yield _by_label(
+            'refusals',
+            'reason',
+            {one.value: metrics.refusals[one] for one in RefusalReason},
+        )
+        yield _by_label('sends_failed', 'cause', metrics.sends_failed)
+        yield self._latency()
+        for name, figure in self._gauges().items():
+            yield GaugeMetricFamily(
+                f'turmericpost_{name}',
+                name.replace('_', ' '),
+                value=figure,
+            )
+
+    def exposition(self) -> bytes:
+        """Return the metrics as text."""
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def _latency(self) -> Metric:
+        gauge = GaugeMetricFamily(
+            'turmericpost_call_latency_us',
+            'Latency of answered calls in microseconds.',
+            labels=['quantile'],
+        )
+        for percentile in _PERCENTILES:
+            gauge.add_metric(
+                [str(percentile / _PERCENT)],
+                self._metrics.latency_us.get_value_at_percentile(percentile),
+            )
+        return gauge
+
+
+def _by_label(
+    name: str,
+    label: str,
+    counts: Mapping[str, int],
+) -> CounterMetricFamily:
+    family = CounterMetricFamily(
+        f'turmericpost_{name}',
+        name.replace('_', ' '),
+        labels=[label],
+    )
+    for key, count in counts.items():
+        family.add_metric([key], count)
+    return family
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -0,0 +1,217 @@
+"""Calls of this VM from their arrival: route, deadline, and what is noted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from xxhash import xxh32_intdigest
+
+from turmericpost.gateway.attempt import Attempt, AttemptTools
+from turmericpost.gateway.call import CallFacts, GatewayCall
+from turmericpost.gateway.dialect import CallHead
+from turmericpost.gateway.gateway_metrics import GatewayMetrics
+from turmericpost.gateway.permit_desk import PermitDesk, Wish
+from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.http1.exchange import Exchange
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost_core.fleet.operator_config import OperatorRoute
+from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.outcome.next_step import SendEnd
+from turmericpost_core.outcome.reasons import RefusalReason
+from turmericpost_core.routing.domain_order import domain_order
+
+SAMPLED_ONE_IN = 8
+"""Answered calls that are logged: the same ids on every VM."""
+
+_FIRST_FAILURE_STATUS = 500
+_MS_PER_S = 1000
+
+
+class Ingress:
+    """Begins calls, and is their host."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        tools: AttemptTools,
+        state: FleetState,
+        desk: PermitDesk,
+        place: tuple[str, dict[str, str]],
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.tools = tools
+        self.reactor = reactor
+        self.in_flight: set[GatewayCall] = set()
+        self.turns_away: Callable[[], bool] = _never
+        self._state = state
+        self._desk = desk
+        self._own_domain, self._regions = place
+        self._metrics = metrics
+        self._random = Random()
+
+    def begin(self, exchange: Exchange) -> None:
+        """Begin a call, or refuse it at once."""
+        head = self.tools.dialect.read_call(exchange.head)
+        if exchange.failure is not None:
+            self._refuse(exchange, head, Refusal(exchange.failure))
+        elif self._state.config is None:
+            self._refuse(exchange, head, Refusal(RefusalReason.NOT_READY))
+        elif self.turns_away():
+            self._refuse(exchange, head, Refusal(RefusalReason.NOT_READY))
+        else:
+            self._route(exchange, head)
+
+    def domains(self, facts: CallFacts) -> tuple[str, ...]:
+        """Return the failure domains to try, the nearest first."""
+        return domain_order(
+            facts.route,
+            self._state.slots(facts.service),
+            self._regions,
+            self._own_domain,
+            self._random.random(),
+        )
+
+    def ask(self, wish: Wish, call: GatewayCall) -> None:
+        """Ask for a permit."""
+        self._desk.ask(wish, call)
+
+    def cancel_ask(self, ask_id: str) -> None:
+        """Take back an ask."""
+        self._desk.cancel(ask_id)
+
+    def onward_head(
+        self,
+        exchange: Exchange,
+        backend_id: str,
+        time_left_s: float,
+    ) -> bytes:
+        """Return the head as it goes to a backend server."""
+        dialect = self.tools.dialect
+        return dialect.onward_head(exchange.head, backend_id, time_left_s)
+
+    def call_answered(self, call: GatewayCall, status: int) -> None:
+        """Note a call that got an answer of a backend server."""
+        self._over(call)
+        latency_s = self._age_s(call)
+        self._metrics.record_answered(latency_s, status)
+        sampled = not _point(call.call_id) % SAMPLED_ONE_IN
+        if sampled or status >= _FIRST_FAILURE_STATUS:
+            log_event(
+                LogEvent.CALL_ENDED,
+                status=status,
+                **self._story(call),
+            )
+
+    def call_refused(self, call: GatewayCall, refusal: Refusal) -> None:
+        """Note a call that got an answer of this VM."""
+        self._over(call)
+        self._metrics.refusals[refusal.reason] += 1
+        log_event(
+            LogEvent.CALL_FAILED,
+            status=refusal.status,
+            reason=refusal.reason.value,
+            retry_after_s=refusal.retry_after_s,
+            **self._story(call),
+        )
+
+    def call_cancelled(self, call: GatewayCall) -> None:
+        """Note a call whose caller went away."""
+        self._over(call)
+        self._metrics.refusals[RefusalReason.CALLER_GONE] += 1
+        log_event(LogEvent.CALL_CANCELLED, **self._story(call))
+
+    def send_failed(
+        self,
+        call: GatewayCall,
+        attempt: Attempt,
+        end: SendEnd,
+        cause: str,
+    ) -> None:
+        """Note a send without a whole answer."""
+        self._metrics.sends_failed[cause] += 1
+        log_event(
+            LogEvent.SEND_FAILED,
+            end=end.value,
+            cause=cause,
+            **self._story(call),
+        )
+
+    def _route(self, exchange: Exchange, head: CallHead) -> None:
+        route = self._state.routes.find(head.host, head.path)
+        if route is None:
+            unknown = Refusal(RefusalReason.UNKNOWN_SERVICE)
+            self._refuse(exchange, head, unknown)
+            return
+        call = GatewayCall(self, exchange, self._facts(head, route))
+        self._metrics.calls_begun += 1
+        self.in_flight.add(call)
+        call.begin()
+
+    def _facts(self, head: CallHead, route: OperatorRoute) -> CallFacts:
+        now_s = self.tools.clock.monotonic_s()
+        left_s = route.timeout_s
+        if head.time_left_s is not None:
+            left_s = min(left_s, head.time_left_s)
+        return CallFacts(
+            call_id=head.call_id,
+            route=route,
+            service=route.service_at(self._random.random()),
+            arrived_s=now_s,
+            objective_at_s=now_s + min(route.objective_s, left_s),
+            deadline_at_s=now_s + left_s,
+        )
+
+    def _refuse(
+        self,
+        exchange: Exchange,
+        head: CallHead,
+        refusal: Refusal,
+    ) -> None:
+        self._metrics.calls_begun += 1
+        self._metrics.refusals[refusal.reason] += 1
+        config = self._state.config
+        log_event(
+            LogEvent.CALL_FAILED,
+            call=head.call_id,
+            host=head.host,
+            status=refusal.status,
+            reason=refusal.reason.value,
+            config=None if config is None else config.version,
+        )
+        refuse(exchange, refusal)
+
+    def _over(self, call: GatewayCall) -> None:
+        self.in_flight.discard(call)
+
+    def _age_s(self, call: GatewayCall) -> float:
+        return self.tools.clock.monotonic_s() - call.facts.arrived_s
+
+    def _story(self, call: GatewayCall) -> dict[str, object]:
+        """Return what decided a call: ids, inputs and their age."""
+        config = self._state.config
+        story: dict[str, object] = {
+            'call': call.call_id,
+            'route': call.facts.route.name,
+            'service': call.facts.service,
+            'ms': round(self._age_s(call) * _MS_PER_S),
+            'sends': call.record.sends,
+            'config': None if config is None else config.version,
+        }
+        permit = call.last_permit
+        if permit is not None:
+            story['backend'] = permit.backend.backend_id
+            story['domain'] = permit.backend.failure_domain
+            story['permit'] = permit.grant_id
+            story['slowness'] = permit.slowness_percent
+            story['report_ms'] = round(permit.report_age_s * _MS_PER_S)
+        return story
+
+
+def _point(call_id: str) -> int:
+    return xxh32_intdigest(call_id.encode('utf-8'))
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -0,0 +1,424 @@
+"""One entry VM on the users' platform: its ports, peers, store and calls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import LoopingCall, deferLater
+
+from turmericpost.fleet.messages import Knowledge
+from turmericpost.fleet.peers import HEARTBEAT_S, PeerListeners, Peers
+from turmericpost.fleet.snapshot_stream import (
+    SnapshotFetches,
+    SnapshotServer,
+)
+from turmericpost.fleet.store import FleetStore
+from turmericpost.fleet.store_reader import ReaderListeners, StoreReader
+from turmericpost.gateway.attempt import AttemptTools
+from turmericpost.gateway.connections import ServerConnections
+from turmericpost.gateway.dialect import Dialect
+from turmericpost.gateway.endpoints import Endpoints
+from turmericpost.gateway.gateway_metrics import (
+    GatewayCollector,
+    GatewayMetrics,
+)
+from turmericpost.gateway.ingress import Ingress
+from turmericpost.gateway.leaving import LeavePlan, new_leave_plan
+from turmericpost.gateway.permit_desk import PermitDesk
+from turmericpost.gateway.probes import Probes
+from turmericpost.gateway.settings import Address, GatewaySettings
+from turmericpost.http1.server import CallerPort
+from turmericpost.http1.settings import CallerSettings
+from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost.reactor_clock import ReactorClock
+from turmericpost_core.fleet.state import FleetSnapshot, FleetState
+from turmericpost_core.grants.broker import Broker
+from turmericpost_core.grants.limits import RepeatBounds
+from turmericpost_core.membership.domain_view import (
+    DomainView,
+    Vm,
+    VmStanding,
+)
+from turmericpost_core.membership.store_turns import (
+    is_reader,
+    new_read_pace,
+)
+from turmericpost_core.outcome.reasons import RefusalReason
+
+SWEEP_S = 0.25
+"""Pause between looks at idle connections and old state."""
+
+JOIN_RETRY_S = 1.0
+"""Pause between tries to find another VM of the own failure domain."""
+
+FOREIGN_PATIENCE_S = 0.3
+"""Time given to one's own domain to learn what another domain knows, since
+snapshots between domains are billed."""
+
+_SLACK_SHARE = 0.5
+_MS_PER_S = 1000
+_READER_SUBJECT = 'store-reader'
+_LEAVE_CHECK_S = 0.02
+
+
+class GatewayNode:
+    """Everything an entry VM runs, in one process on one loop."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: GatewaySettings,
+        store: FleetStore,
+        dialect: Dialect,
+    ) -> None:
+        self.clock = ReactorClock(reactor)
+        self.state = FleetState()
+        self.metrics = GatewayMetrics()
+        self._reactor = reactor
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._ports: list[Any] = []
+        self._loops: list[LoopingCall] = []
+        self._leave: LeavePlan | None = None
+        self._read_ages_s: dict[str, tuple[float, float]] = {}
+        self._ahead_from_s: dict[str, float] = {}
+        self._pace = new_read_pace(settings.promises.drain_s)
+        self.view = DomainView(self._own_vm())
+        self._build_fleet()
+        self._build_calls()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come here."""
+        return self._leave is None and self.state.config is not None
+
+    def start(self) -> Result[None, CannotListenError]:
+        """Open the ports and begin to follow the platform."""
+        try:
+            self._open_ports()
+        except CannotListenError as error:
+            return Err(error)
+        for interval_s, step in (
+            (HEARTBEAT_S, self._beat),
+            (SWEEP_S, self._sweep),
+        ):
+            loop = LoopingCall(step)
+            loop.clock = self._reactor
+            loop.start(interval_s).addErrback(log_failure)
+            self._loops.append(loop)
+        self._reader.start()
+        Deferred.fromCoroutine(self._join()).addErrback(log_failure)
+        return Ok(None)
+
+    async def stop(self) -> None:
+        """Leave: out of answers, serve on, finish what is in flight."""
+        if self._leave is not None:
+            return
+        now_s = self.clock.monotonic_s()
+        plan = new_leave_plan(now_s, self._settings.promises.grace_s)
+        self._leave = plan
+        log_event(LogEvent.DRAIN_STARTED, in_flight=len(self.calls.in_flight))
+        self.view.own_standing = VmStanding.LEAVING
+        self._caller_port.is_draining = True
+        self.peers.beat()
+        self.peers.send_digests()
+        while not plan.is_over(
+            self.clock.monotonic_s(),
+            len(self.calls.in_flight),
+        ):
+            if plan.closes_idle(self.clock.monotonic_s()):
+                self._caller_port.close_idle()
+            await deferLater(self._reactor, _LEAVE_CHECK_S)
+        log_event(LogEvent.DRAIN_FINISHED, in_flight=len(self.calls.in_flight))
+        self._reader.stop()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take settings that may change while running: who to join."""
+        self._settings = settings
+        self.peers.hello(settings.seed_hosts, settings.peer_port)
+
+    def _own_vm(self) -> Vm:
+        settings = self._settings
+        host, port = settings.callers
+        started_ms = int(self.clock.utc_now().timestamp() * _MS_PER_S)
+        return Vm(
+            name=settings.name,
+            host=settings.host,
+            peer_port=settings.peer_port,
+            caller_address=f'{host}:{port}',
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            started_ms=started_ms,
+        )
+
+    def _build_fleet(self) -> None:
+        settings = self._settings
+        self.peers = Peers(
+            self.clock,
+            self.view,
+            settings.domain_regions,
+            PeerListeners(
+                knowledge=self._knowledge,
+                holds_for=lambda name: self.desk.holds_for(name),
+                heard_knowledge=self._heard_knowledge,
+                held=lambda name, holds: self.desk.held(name, holds),
+                live_changed=self._live_changed,
+                message=lambda host, one: self.desk.received(host, one),
+            ),
+        )
+        self._reader = StoreReader(
+            self._reactor,
+            self.clock,
+            self._store,
+            self.state,
+            self._pace,
+            ReaderListeners(self._is_reader, self._knowledge_changed),
+        )
+        self._fetches = SnapshotFetches(self._reactor, self._adopt)
+
+    def _build_calls(self) -> None:
+        settings = self._settings
+        promises = settings.promises
+        bounds = RepeatBounds(
+            ratio=promises.repeat_ratio,
+            slack=promises.repeat_slack,
+            window_s=promises.repeat_window_s,
+            slack_share=_SLACK_SHARE / len(settings.domain_regions),
+        )
+        own = self.view.own
+        broker = Broker(f'{own.name}.{own.started_ms}', bounds)
+        self.connections = ServerConnections(self._reactor, self.clock)
+        self.probes = Probes(
+            self._reactor,
+            self.connections,
+            self._dialect,
+            self._health_path,
+        )
+        self.desk = PermitDesk(
+            self._reactor,
+            self.clock,
+            broker,
+            self.peers,
+            self.probes,
+        )
+        tools = AttemptTools(
+            self.connections,
+            self._dialect,
+            self.clock,
+            self.desk.finish,
+        )
+        self.calls = Ingress(
+            self._reactor,
+            tools,
+            self.state,
+            self.desk,
+            (settings.failure_domain, dict(settings.domain_regions)),
+            self.metrics,
+        )
+        self.calls.turns_away = self._turns_away
+        self._caller_port = self._new_port(self.calls.begin)
+
+    def _new_port(self, begin: Any) -> CallerPort:
+        host, port = self._settings.callers
+        return CallerPort(
+            begin,
+            CallerSettings(caller_host=host, caller_port=port),
+            self.clock,
+            self._record_refusal,
+        )
+
+    def _open_ports(self) -> None:
+        settings = self._settings
+        endpoints = Endpoints(
+            dialect=self._dialect,
+            clock=self.clock,
+            view=self.view,
+            state=self.state,
+            domain_regions=settings.domain_regions,
+            is_ready=lambda: self.is_ready,
+            collector=GatewayCollector(self.metrics, self._gauges),
+        )
+        self._endpoint_port = self._new_port(endpoints.begin)
+        self._listen(settings.callers, self._caller_port)
+        for address in (
+            settings.readiness,
+            settings.directory,
+            settings.metrics,
+        ):
+            self._listen(address, self._endpoint_port)
+        peer_address = (settings.host, settings.peer_port)
+        self._listen(peer_address, SnapshotServer(self.state.snapshot))
+        self._ports.append(
+            self._reactor.listenUDP(
+                settings.peer_port,
+                self.peers,
+                interface=settings.host,
+            ),
+        )
+
+    def _listen(self, address: Address, factory: Any) -> None:
+        host, port = address
+        self._ports.append(
+            self._reactor.listenTCP(
+                port,
+                factory,
+                backlog=511,
+                interface=host,
+            ),
+        )
+
+    async def _join(self) -> None:
+        """Find other VMs, by the settings first and then by the store."""
+        settings = self._settings
+        is_announced = False
+        while self._leave is None:
+            self.peers.hello(settings.seed_hosts, settings.peer_port)
+            if not is_announced:
+                announced = await self._store.announce(self.view.own)
+                is_announced = announced.is_ok()
+                if not is_announced:
+                    error = announced.unwrap_err()
+                    log_event(
+                        LogEvent.STORE_WRITE_FAILED,
+                        kind=error.kind.value,
+                        detail=error.detail,
+                    )
+            await deferLater(self._reactor, JOIN_RETRY_S)
+            if is_announced and self._has_company():
+                return
+            listed = await self._store.list_vms()
+            if listed.is_ok():
+                now_s = self.clock.monotonic_s()
+                self.view.told(listed.unwrap(), now_s)
+
+    def _has_company(self) -> bool:
+        return len(self.view.members(self.clock.monotonic_s())) > 1
+
+    def _knowledge(self) -> Knowledge:
+        age_s = self.clock.monotonic_s() - self._reader.read_s
+        return Knowledge(
+            read_age_s=min(age_s, 999.0),
+            operator_offset=self.state.operator_offset,
+            backends=self.state.directory.version,
+            next_offset=self.state.directory.next_offset,
+        )
+
+    def _heard_knowledge(self, vm: Vm, knowledge: Knowledge) -> None:
+        """Fetch what another VM knows if it is newer.
+
+        From another domain only after giving one's own some time.
+        """
+        now_s = self.clock.monotonic_s()
+        own_domain = self.view.own.failure_domain
+        is_near = vm.failure_domain == own_domain
+        if is_near:
+            heard = (knowledge.read_age_s, now_s)
+            self._read_ages_s[vm.name] = heard
+        mine = self._knowledge()
+        is_newer = knowledge.operator_offset > mine.operator_offset
+        if not (is_newer or knowledge.backends > mine.backends):
+            self._ahead_from_s.pop(vm.failure_domain, None)
+            self._catch_up_offset(knowledge)
+            return
+        since_s = self._ahead_from_s.setdefault(vm.failure_domain, now_s)
+        if is_near or now_s - since_s > FOREIGN_PATIENCE_S:
+            self._fetches.fetch(vm)
+
+    def _catch_up_offset(self, knowledge: Knowledge) -> None:
+        directory = self.state.directory
+        if knowledge.backends == directory.version:
+            directory.next_offset = max(
+                directory.next_offset,
+                knowledge.next_offset,
+            )
+
+    def _adopt(self, snapshot: FleetSnapshot, vm_name: str) -> None:
+        if self.state.adopt(snapshot):
+            self._knowledge_changed(vm_name)
+
+    def _is_reader(self) -> bool:
+        """Return whether it is this VM's turn to read the store."""
+        now_s = self.clock.monotonic_s()
+        own = self.view.own
+        ranked = self.view.ranked(_READER_SUBJECT, own.failure_domain, now_s)
+        ages_s = {
+            name: age_s + now_s - heard_s
+            for name, (age_s, heard_s) in self._read_ages_s.items()
+        }
+        names = tuple(vm.name for vm in ranked)
+        return is_reader(names, own.name, ages_s, self._pace)
+
+    def _knowledge_changed(self, source: str) -> None:
+        """Put into force what has been learned, and tell the others."""
+        now_s = self.clock.monotonic_s()
+        state = self.state
+        config = state.config
+        if config is not None:
+            self.desk.broker.set_services(config.services)
+            if self.view.own_standing is VmStanding.STARTING:
+                self.view.own_standing = VmStanding.READY
+                log_event(LogEvent.READY, config=config.version)
+        usable = state.usable_backends()
+        self.desk.broker.set_backends(usable, now_s)
+        self.connections.retain({one.backend_id for one in usable})
+        log_event(
+            LogEvent.KNOWLEDGE_CHANGED,
+            source=source,
+            config=None if config is None else config.version,
+            operator_offset=state.operator_offset,
+            backends_version=state.directory.version,
+            usable=len(usable),
+            evacuated=sorted(state.evacuated),
+        )
+        self.peers.beat()
+
+    def _live_changed(
+        self,
+        gained: frozenset[str],
+        lost: frozenset[str],
+    ) -> None:
+        self.desk.vms_lost(lost)
+        for name in lost:
+            self._read_ages_s.pop(name, None)
+
+    def _beat(self) -> None:
+        self.peers.beat()
+
+    def _sweep(self) -> None:
+        self._caller_port.check_time()
+        self._endpoint_port.check_time()
+        self.desk.sweep()
+        if self.state.directory.expire(self.clock.monotonic_s()):
+            self._knowledge_changed('expiry')
+
+    def _turns_away(self) -> bool:
+        plan = self._leave
+        if plan is None:
+            return False
+        return plan.turns_away(self.clock.monotonic_s())
+
+    def _health_path(self, service: str) -> str:
+        config = self.state.config
+        spec = None if config is None else config.services.get(service)
+        return '/health' if spec is None else spec.health_path
+
+    def _record_refusal(self, reason: RefusalReason) -> None:
+        self.metrics.refusals[reason] += 1
+
+    def _gauges(self) -> dict[str, float]:
+        knowledge = self._knowledge()
+        config = self.state.config
+        return {
+            'in_flight': len(self.calls.in_flight),
+            'store_calls': self._store.calls,
+            'store_read_age_s': knowledge.read_age_s,
+            'config_version': 0 if config is None else config.version,
+            'backends': len(self.state.directory.backends),
+            'probes': self.probes.sent,
+            'server_connections_opened': self.connections.opened,
+            'peer_bytes_sent': self.peers.bytes_sent,
+        }
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/refusals.py
@@ -0,0 +1,58 @@
+"""Answers of this VM's own: refusals and failures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from turmericpost.http1.exchange import Exchange
+from turmericpost.http1.heads import Headers
+from turmericpost_core.outcome.reasons import RefusalReason
+
+REASON_FIELD = b'turmericpost-reason'
+
+SHORTEST_RETRY_AFTER_S = 0.05
+"""Least time after which a caller is asked back; callers wait at most a
+third of what they have left, so a longer one helps none with a short limit."""
+
+_RETRY_AFTER = b'retry-after'
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_STATUSES = MappingProxyType(
+    {
+        RefusalReason.MALFORMED_REQUEST: 400,
+        RefusalReason.HEADERS_TOO_LARGE: 431,
+        RefusalReason.BODY_TOO_LARGE: 413,
+        RefusalReason.SLOW_CALLER: 408,
+        RefusalReason.UPGRADE_UNSUPPORTED: 400,
+        RefusalReason.UNKNOWN_SERVICE: 404,
+        RefusalReason.DEADLINE_EXCEEDED: 504,
+        RefusalReason.CONNECTION_LOST: _BAD_GATEWAY,
+        RefusalReason.TRUNCATED_ANSWER: _BAD_GATEWAY,
+        RefusalReason.MALFORMED_ANSWER: _BAD_GATEWAY,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a call ends here; a time to come back where it has not run."""
+
+    reason: RefusalReason
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Status code of the answer; 503 promises that nothing was run."""
+        return _STATUSES.get(self.reason, _UNAVAILABLE)
+
+
+def refuse(exchange: Exchange, refusal: Refusal) -> None:
+    """Answer a call that ends here."""
+    headers: Headers = [
+        (REASON_FIELD, refusal.reason.value.encode('ascii')),
+    ]
+    if refusal.status == _UNAVAILABLE:
+        wait_s = max(refusal.retry_after_s or 0, SHORTEST_RETRY_AFTER_S)
+        headers.append((_RETRY_AFTER, b'%.2f' % wait_s))
+    exchange.send_whole(refusal.status, headers, b'')
--- a/packages/turmericpost-entry/src/turmericpost/http1/client.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/client.py
@@ -4,13 +4,14 @@
 
 from typing import Protocol as Interface
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from turmericpost.http1.codec import ResponseParser
-from turmericpost.http1.heads import Headers, ResponseHead
+from turmericpost.http1.heads import KEEP_ALIVE, Headers, ResponseHead
 from turmericpost_core.outcome.ledger import AttemptEnd
 
 _FIRST_FINAL_STATUS = 200
@@ -20,6 +21,9 @@
 class AnswerReceiver(Interface):
     """Takes the answer to one call."""
 
+    def is_foreign(self, head: ResponseHead) -> bool:
+        """Return whether an answer is to an earlier call, so not this one's."""
+
     def answer_head(self, head: ResponseHead) -> None:
         """Take the head of the answer."""
 
@@ -43,8 +47,12 @@
 class BackendConnection(Protocol):
     """A connection to a backend server, kept between calls."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, takes_unframed: bool = False) -> None:
         self.is_usable = True
+        self.idle_from_s = float(0)
+        self.keep_alive: bytes | None = None
+        self._takes_unframed = takes_unframed
+        self._is_unframed = False
         self._parser = ResponseParser(self)
         self._receiver: AnswerReceiver | None = None
         self._bodiless_method = False
@@ -52,6 +60,7 @@
         self._in_head = False
         self._answer_begun = False
         self._skips_message = False
+        self._skipped_foreign = False
         self._ended = False
 
     def connectionMade(self) -> None:
@@ -105,6 +114,10 @@
     ) -> None:
         """Fail the call in progress."""
         self.is_usable = False
+        if self._is_unframed and reason.check(ConnectionDone):
+            self._ended = True
+            self._end()
+            return
         lost = AttemptEnd.CONNECTION_LOST
         self._fail(AttemptEnd.TRUNCATED if self._answer_begun else lost)
 
@@ -127,12 +140,19 @@
         self._skips_message = status < _FIRST_FINAL_STATUS
         if self._skips_message or self._ended or self._receiver is None:
             return
-        self._answer_begun = True
         has_body = not (self._bodiless_method or status in _BODILESS)
         head = ResponseHead(status, self._headers, has_body)
-        if not head.is_framed:
-            self._fail(AttemptEnd.UNFRAMED)
+        if self._receiver.is_foreign(head):
+            self._skips_message = True
+            self._skipped_foreign = True
             return
+        self._answer_begun = True
+        if not head.is_framed:
+            if not self._takes_unframed:
+                self._fail(AttemptEnd.UNFRAMED)
+                return
+            self._is_unframed = True
+        self.keep_alive = head.first(KEEP_ALIVE)
         self._receiver.answer_head(head)
         if self._bodiless_method:
             self._ended = True
@@ -141,7 +161,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
-        if self._receiver is not None and not self._ended:
+        if self._skips_message or self._ended:
+            return
+        if self._receiver is not None:
             self._receiver.answer_body(body)
 
     def on_message_complete(self) -> None:
@@ -149,6 +171,8 @@
         if not (self._skips_message or self._ended):
             self._ended = True
             self.is_usable = self._parser.keeps_alive
+            if self._skipped_foreign:
+                self.is_usable = False
 
     def pauseProducing(self) -> None:
         """Pass on that the backend server reads slowly."""
--- a/packages/turmericpost-entry/src/turmericpost/http1/heads.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/heads.py
@@ -14,13 +14,14 @@
 CONTENT_LENGTH = b'content-length'
 EXPECT = b'expect'
 HOST = b'host'
+KEEP_ALIVE = b'keep-alive'
 TRANSFER_ENCODING = b'transfer-encoding'
 VIA = b'via'
 
 _HOP_BY_HOP = frozenset(
     (
         CONNECTION,
-        b'keep-alive',
+        KEEP_ALIVE,
         b'proxy-authenticate',
         b'proxy-authorization',
         b'proxy-connection',
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -21,8 +21,8 @@
 from turmericpost.observe.metrics import Metrics
 from turmericpost.peer.service import PeerListeners, new_peer_service
 from turmericpost.peer.stream import PeerListener
-from turmericpost.platform.clients import connect_platform
-from turmericpost.platform.tasks import PlatformTasks
+from turmericpost.configlog.clients import connect_platform
+from turmericpost.configlog.tasks import PlatformTasks
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.settings_groups import Settings
 from turmericpost_core.config.fold import Configuration
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
@@ -0,0 +1,87 @@
+"""Log lines on standard output that never block the loop.
+
+Lines wait in a bounded buffer; what a stuck reader leaves no room for is
+dropped and counted, and the count is logged once there is room again.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+
+from logbook import Handler
+
+from turmericpost.observe.events import LogEvent, log_event
+
+BUFFER_BYTES = 262144
+"""Room for about a thousand lines: a second of the busiest VM."""
+
+FLUSH_S = 0.05
+"""Longest time that a line waits before it is written."""
+
+
+class BoundedOutput:
+    """Writes whole lines to a descriptor as far as it takes them."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.left_out = 0
+        self._descriptor = descriptor
+        self._waiting = bytearray()
+        os.set_blocking(descriptor, False)
+
+    def add(self, line: str) -> None:
+        """Keep a line, or count it as left out."""
+        wire = line.encode('utf-8') + b'\n'
+        if len(self._waiting) + len(wire) > BUFFER_BYTES:
+            self.left_out += 1
+        else:
+            self._waiting += wire
+
+    def flush(self) -> None:
+        """Write as much as the reader takes."""
+        if not self._waiting:
+            return
+        try:
+            written = os.write(self._descriptor, self._waiting)
+        except BlockingIOError:
+            return
+        except OSError:
+            written = len(self._waiting)
+            self.left_out += self._waiting.count(b'\n')
+        del self._waiting[:written]  # noqa: WPS420
+
+    def take_left_out(self) -> int:
+        """Return how many lines were left out since the last look."""
+        left_out = self.left_out
+        self.left_out = 0
+        return left_out
+
+
+class BoundedHandler(Handler):
+    """Hands log records to a bounded output."""
+
+    def __init__(self, output: BoundedOutput) -> None:
+        super().__init__()
+        self._output = output
+
+    def emit(self, record: Any) -> None:
+        """Keep the line of a record."""
+        self._output.add(record.message)
+
+
+def open_bounded_log(reactor: Any) -> BoundedOutput:
+    """Write log lines to standard output from now on."""
+    output = BoundedOutput(sys.stdout.fileno())
+    BoundedHandler(output).push_application()
+    reactor.callLater(FLUSH_S, _flush, reactor, output)
+    reactor.addSystemEventTrigger('after', 'shutdown', output.flush)
+    return output
+
+
+def _flush(reactor: Any, output: BoundedOutput) -> None:
+    output.flush()
+    left_out = output.take_left_out()
+    if left_out:
+        log_event(LogEvent.LINES_LEFT_OUT, lines=left_out)
+    reactor.callLater(FLUSH_S, _flush, reactor, output)
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -57,6 +57,36 @@
         'a peer sent a message that is not readable',
     )
     CALL_REFUSED = (4001, Level.DEBUG, 'a call ended with a refusal')
+    STORE_UNREACHABLE = (5001, Level.WARNING, 'reads of the store fail')
+    STORE_REACHABLE = (5002, Level.INFO, 'reads of the store succeed again')
+    STORE_EXPIRED = (
+        5003,
+        Level.WARNING,
+        'records expired before being read; the newest are listed',
+    )
+    RECORD_INVALID = (5004, Level.WARNING, 'a record names nothing to use')
+    READER_CHANGED = (5005, Level.INFO, 'this VM began or ended reading')
+    STORE_WRITE_FAILED = (5006, Level.WARNING, 'a write to the store failed')
+    KNOWLEDGE_CHANGED = (
+        5101,
+        Level.INFO,
+        'configuration, evacuations or backend servers changed',
+    )
+    BACKEND_CHANGED = (5102, Level.INFO, 'a backend server changed its state')
+    SNAPSHOT_FAILED = (5103, Level.WARNING, 'no snapshot came from a peer')
+    DATAGRAM_NOT_SENT = (5104, Level.WARNING, 'a datagram was not sent')
+    CALL_SENT = (6001, Level.INFO, 'a call went to a backend server')
+    CALL_ENDED = (6002, Level.INFO, 'a call ended with an answer')
+    CALL_FAILED = (6003, Level.INFO, 'a call ended without an answer')
+    SEND_FAILED = (6004, Level.INFO, 'a send ended without an answer')
+    CALL_CANCELLED = (6005, Level.INFO, 'the caller went away')
+    LINES_LEFT_OUT = (6006, Level.WARNING, 'log lines were left out')
+    SETTINGS_RELOADED = (1008, Level.INFO, 'the settings file was read again')
+    SETTINGS_INVALID = (
+        1009,
+        Level.ERROR,
+        'the settings file can not be used; the old settings hold',
+    )
     UNEXPECTED_FAILURE = (9001, Level.ERROR, 'a defect was met')
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
@@ -4,22 +4,13 @@
 
 from collections import Counter
 
-from hdrh.histogram import HdrHistogram
-
 from turmericpost.forward.relays import RelayKind
+from turmericpost.observe.histogram import new_histogram
 from turmericpost_core.outcome.reasons import RefusalReason, RetryReason
 
-_LOWEST_US = 1
-_HIGHEST_US = 60_000_000
-_DIGITS = 2
 _US_PER_S = 1_000_000
 
 
-def new_histogram() -> HdrHistogram:
-    """Return an empty latency histogram in microseconds."""
-    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-
-
 class Metrics:
     """Counts since the start of the process; latencies in microseconds."""
 
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
@@ -0,0 +1,68 @@
+"""``python -m turmericpost.platform``: run an entry VM on the platform."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+from twisted.internet import reactor
+
+from turmericpost.commands.process import ProcessEnd
+from turmericpost.gateway.node import GatewayNode
+from turmericpost.observe.bounded_output import open_bounded_log
+from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.platform.call_fields import PlatformDialect
+from turmericpost.platform.settings_file import (
+    PATH_VARIABLE,
+    read_settings_file,
+)
+from turmericpost.platform.store_client import StoreClient
+
+EXIT_USAGE = 2
+EXIT_PORT_TAKEN = 1
+
+
+def main() -> int:
+    """Serve until a signal ends the process."""
+    path = os.environ.get(PATH_VARIABLE, '')
+    read = read_settings_file(path)
+    if read.is_err():
+        sys.stderr.write(f'turmericpost: {read.unwrap_err()}\n')
+        return EXIT_USAGE
+    settings = read.unwrap()
+    open_bounded_log(reactor)
+    log_event(LogEvent.PROCESS_STARTED, vm=settings.name)
+    store = StoreClient(reactor, settings.store)
+    node = GatewayNode(reactor, settings, store, PlatformDialect())
+    started = node.start()
+    if started.is_err():
+        sys.stderr.write(f'turmericpost: {started.unwrap_err()}\n')
+        return EXIT_PORT_TAKEN
+    _install_signals(node, path)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+def _install_signals(node: GatewayNode, path: str) -> None:
+    ending = ProcessEnd(reactor, node.stop)
+    reactor.callWhenRunning(ending.install)
+
+    def reload(_number: int, _frame: object) -> None:
+        reactor.callFromThread(_reload, node, path)
+
+    signal.signal(signal.SIGHUP, reload)
+
+
+def _reload(node: GatewayNode, path: str) -> None:
+    read = read_settings_file(path)
+    if read.is_err():
+        detail = str(read.unwrap_err())
+        log_event(LogEvent.SETTINGS_INVALID, detail=detail)
+        return
+    node.reload(read.unwrap())
+    log_event(LogEvent.SETTINGS_RELOADED, path=path)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
@@ -0,0 +1,108 @@
+"""Records of the operator: configurations and evacuations."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from turmericpost.platform.store_wire import KeyedRecord
+from turmericpost_core.fleet.operator_config import (
+    CallerLimits,
+    OperatorConfig,
+    OperatorRoute,
+    ServiceSpec,
+    SplitPart,
+)
+from turmericpost_core.fleet.state import OperatorChange
+
+CONFIG_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
+
+_MS_PER_S = 1000
+_KINDS = frozenset(('idempotent', 'non_idempotent'))
+
+
+def decode_operator_record(record: KeyedRecord) -> Result[OperatorChange, str]:
+    """Decode a record of the operator."""
+    if record.key.startswith(EVACUATION_PREFIX):
+        domain = record.key.removeprefix(EVACUATION_PREFIX)
+        is_set = bool(record.text)
+        return Ok(
+            OperatorChange(
+                record.offset,
+                evacuated_domain=domain,
+                is_set=is_set,
+            ),
+        )
+    if record.key != CONFIG_KEY:
+        return Err('the key is not known')
+    try:
+        config = _config(json.loads(record.text))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Err(f'{type(error).__name__}: {error}')
+    return Ok(OperatorChange(record.offset, config=config))
+
+
+def _config(body: Any) -> OperatorConfig:
+    services = {
+        spec.name: spec for spec in map(_service, body.get('Services', ()))
+    }
+    return OperatorConfig(
+        version=int(body['Version']),
+        routes=tuple(_route(one, services) for one in body['Routes']),
+        services=services,
+        limits=_limits(body['Limits']),
+    )
+
+
+def _service(body: Any) -> ServiceSpec:
+    return ServiceSpec(
+        name=body['Name'],
+        health_path=body.get('HealthCheckPath', '/health'),
+        max_connections=int(body.get('MaxConnections', 0)),
+        warmup_s=float(body.get('WarmupS', 0)),
+        cold_per_s=float(body.get('WarmupPerS', 1)),
+    )
+
+
+def _route(body: Any, services: dict[str, ServiceSpec]) -> OperatorRoute:
+    kind = body['RouteType']
+    if kind not in _KINDS:
+        raise ValueError(f'RouteType is {kind!r}')
+    split = _split(body)
+    for part in split:
+        if part.service not in services:
+            raise ValueError(f'service {part.service!r} is not there')
+    timeout_s = float(body['TimeoutMs']) / _MS_PER_S
+    return OperatorRoute(
+        name=body['Name'],
+        host=body['Host'].lower(),
+        path_prefix=body['PathPrefix'],
+        is_idempotent=kind == 'idempotent',
+        timeout_s=timeout_s,
+        objective_s=float(body['SloLatencyMs']) / _MS_PER_S,
+        rank=int(body.get('Priority', 0)),
+        split=split,
+        max_attempts=int(body['MaxAttempts']),
+        home_regions=frozenset(body.get('AllowedRegions') or ()),
+    )
+
+
+def _split(body: Any) -> tuple[SplitPart, ...]:
+    parts = body.get('TrafficSplit')
+    if not parts:
+        return (SplitPart(body['Service'], 1),)
+    return tuple(
+        SplitPart(part['Service'], float(part['Weight'])) for part in parts
+    )
+
+
+def _limits(body: Any) -> CallerLimits:
+    return CallerLimits(
+        max_header_bytes=int(body['MaxHeaderBytes']),
+        max_body_bytes=int(body['MaxBodyBytes']),
+        header_timeout_s=float(body['HeaderTimeoutMs']) / _MS_PER_S,
+        idle_timeout_s=float(body['IdleTimeoutMs']) / _MS_PER_S,
+    )
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/registry_records.py
@@ -0,0 +1,87 @@
+"""Records in which backend servers and entry VMs register themselves."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from turmericpost.platform.store_wire import KeyedRecord
+from turmericpost_core.fleet.backends import Backend, Registration
+from turmericpost_core.membership.domain_view import Vm
+
+_MS_PER_S = 1000
+_STATES = frozenset(('ready', 'draining'))
+_MAX_PORT = 65535
+
+
+def decode_registration(record: KeyedRecord) -> Result[Registration, str]:
+    """Decode a record of the registry of backend servers."""
+    if not record.text:
+        return Ok(Registration(record.offset, record.key, None))
+    try:
+        backend = _backend(record.key, json.loads(record.text))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(f'{type(error).__name__}: {error}')
+    return Ok(Registration(record.offset, record.key, backend))
+
+
+def encode_vm(vm: Vm) -> bytes:
+    """Return the record in which an entry VM announces itself."""
+    record = {
+        'host': vm.host,
+        'peer_port': vm.peer_port,
+        'caller_address': vm.caller_address,
+        'failure_domain': vm.failure_domain,
+        'region': vm.region,
+        'started_ms': vm.started_ms,
+    }
+    return json.dumps(record).encode('utf-8')
+
+
+def decode_vm(record: KeyedRecord) -> Result[Vm, str]:
+    """Decode the record of an entry VM."""
+    try:
+        return Ok(Vm(name=record.key, **json.loads(record.text)))
+    except (TypeError, ValueError) as error:
+        return Err(f'{type(error).__name__}: {error}')
+
+
+def _backend(backend_id: str, entry: Any) -> Backend:
+    host, _, port = _text(entry, 'Address').rpartition(':')
+    state = _text(entry, 'State')
+    if state not in _STATES:
+        raise ValueError(f'State is {state!r}')
+    if not host or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError('Address is not HOST:PORT')
+    slots = _whole(entry, 'Slots')
+    if slots < 1:
+        raise ValueError(f'Slots is {slots}')
+    return Backend(
+        backend_id=backend_id,
+        service=_text(entry, 'Service'),
+        host=host,
+        port=int(port),
+        failure_domain=_text(entry, 'Zone'),
+        slots=slots,
+        is_draining=state == 'draining',
+        cold_left_s=_whole(entry, 'WarmupLeftMs') / _MS_PER_S,
+        started_ms=_whole(entry, 'born') if 'born' in entry else 0,
+    )
+
+
+def _text(entry: Any, name: str) -> str:
+    field = entry[name]
+    if not isinstance(field, str) or not field:
+        raise TypeError(f'{name} is not a text')
+    return field
+
+
+def _whole(entry: Any, name: str) -> int:
+    field = entry[name]
+    if not isinstance(field, int) or isinstance(field, bool):
+        raise TypeError(f'{name} is not a whole number')
+    if field < 0:
+        raise ValueError(f'{name} is negative')
+    return field
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/settings_file.py
@@ -0,0 +1,107 @@
+"""The settings file that the platform lays: lines of ``a.b=value``."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from turmericpost.gateway.settings import Address, GatewaySettings, Promises
+
+PATH_VARIABLE = 'TURMERICPOST_BOOT'
+METRICS_PORT = 9464
+METRICS_PATH = '/metrics'
+
+_ZONES = 'Zones.'
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class SettingsFileError:
+    """Why a settings file can't be used."""
+
+    path: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Return one line for a person."""
+        return f'settings file {self.path}: {self.detail}'
+
+
+def read_settings_file(path: str) -> Result[GatewaySettings, SettingsFileError]:
+    """Read and decode a settings file."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingsFileError(path, str(error)))
+    return decode_settings(path, text)
+
+
+def decode_settings(
+    path: str,
+    text: str,
+) -> Result[GatewaySettings, SettingsFileError]:
+    """Decode the text of a settings file; unknown fields are ignored."""
+    fields = dict(
+        (part.strip() for part in line.split('=', 1))
+        for line in text.splitlines()
+        if '=' in line
+    )
+    try:
+        return Ok(_settings(fields))
+    except KeyError as missing:
+        return Err(SettingsFileError(path, f'{missing.args[0]} is missing'))
+    except ValueError as malformed:
+        return Err(SettingsFileError(path, str(malformed)))
+
+
+def _settings(fields: Mapping[str, str]) -> GatewaySettings:
+    host = fields['Ip']
+    seeds = fields.get('Seeds', '').split(',')
+    return GatewaySettings(
+        name=fields['NodeName'],
+        host=host,
+        failure_domain=fields['Zone'],
+        region=fields['Region'],
+        domain_regions={
+            key.removeprefix(_ZONES): region
+            for key, region in fields.items()
+            if key.startswith(_ZONES)
+        },
+        callers=_address(fields, 'Listen.Front'),
+        readiness=_address(fields, 'Listen.Ready'),
+        directory=_address(fields, 'Listen.Directory'),
+        metrics=(host, METRICS_PORT),
+        peer_port=int(fields['InternalPortRange'].split(',')[0]),
+        seed_hosts=tuple(one.rpartition(':')[0] for one in seeds if one),
+        store=_address(fields, 'Platform.Address'),
+        promises=_promises(fields),
+    )
+
+
+def _promises(fields: Mapping[str, str]) -> Promises:
+    return Promises(
+        drain_s=_number(fields, 'Bounds.DrainMs') / _MS_PER_S,
+        grace_s=_number(fields, 'Bounds.GraceS'),
+        config_s=_number(fields, 'Bounds.ConfigMs') / _MS_PER_S,
+        answers_valid_max_s=_number(fields, 'Bounds.ttl_max_s'),
+        repeat_ratio=_number(fields, 'Bounds.RetryBudgetRatio'),
+        repeat_slack=_number(fields, 'Bounds.RetryBudgetSlack'),
+        repeat_window_s=_number(fields, 'Bounds.BudgetWindowS'),
+    )
+
+
+def _address(fields: Mapping[str, str], key: str) -> Address:
+    host, _, port = fields[key].rpartition(':')
+    if not host:
+        raise ValueError(f'{key} is not HOST:PORT')
+    return host, int(port)
+
+
+def _number(fields: Mapping[str, str], key: str) -> float:
+    try:
+        return float(fields[key])
+    except ValueError:
+        raise ValueError(f'{key} is not a number: {fields[key]!r}') from None
--- a/packages/turmericpost-entry/src/turmericpost/settings_groups.py
+++ b/packages/turmericpost-entry/src/turmericpost/settings_groups.py
@@ -14,7 +14,7 @@
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.observe.settings import LogSettings
 from turmericpost.peer.settings import PeerSettings
-from turmericpost.platform.settings import PlatformSettings
+from turmericpost.configlog.settings import PlatformSettings
 from turmericpost_command.settings.declare import (
     DeclaredSetting,
     declared_settings,
--- a/packages/turmericpost-entry/tests/platform/test_histories.py
+++ b/packages/turmericpost-entry/tests/configlog/test_histories.py
@@ -14,15 +14,15 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.platform.follower import ConfigurationFollower
-from turmericpost.platform.log_client import (
+from turmericpost.configlog.follower import ConfigurationFollower
+from turmericpost.configlog.log_client import (
     LogBatch,
     LogError,
     LogErrorKind,
     LogRecord,
 )
-from turmericpost.platform.publisher import Publisher
-from turmericpost.platform.snapshots import SnapshotWriter
+from turmericpost.configlog.publisher import Publisher
+from turmericpost.configlog.snapshots import SnapshotWriter
 from turmericpost_core.config.document import (
     BackendServer,
     Document,
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -23,7 +23,7 @@
 from turmericpost.http1.server import CallerPort
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.observe.metrics import Metrics
-from turmericpost.platform.log_client import (
+from turmericpost.configlog.log_client import (
     LogBatch,
     LogError,
     LogErrorKind,
