--- a/packages/turmericpost-core/src/turmericpost_core/fleet/backends.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/backends.py
@@ -164,5 +164,7 @@
 
     def _drop(self, backend_id: str) -> None:
         self.backends = {
-            key: kept for key, kept in self.backends.items() if key != backend_id
+            key: kept
+            for key, kept in self.backends.items()
+            if key != backend_id
         }
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -75,9 +75,7 @@
         if next_offset < self.operator_offset:
             return False
         listed = tuple(changes)
-        named = frozenset(
-            one.evacuated_domain for one in listed if one.is_set
-        )
+        named = frozenset(one.evacuated_domain for one in listed if one.is_set)
         changed = bool(self.evacuated - named)
         self.evacuated &= named
         self.operator_offset = 0
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -65,11 +65,13 @@
         """Return what is known of every backend server."""
         return self._uses.values()
 
-    def set_services(self, services: Mapping[str, ServiceSpec]) -> None:
+    def install_services(self, services: Mapping[str, ServiceSpec]) -> None:
         """Take the services of a configuration."""
         self._services = services
 
-    def set_backends(self, backends: Iterable[Backend], now_s: float) -> None:
+    def install_backends(
+        self, backends: Iterable[Backend], now_s: float
+    ) -> None:
         """Take the backend servers that may be used."""
         uses: dict[str, BackendUse] = {}
         for backend in backends:
@@ -210,6 +212,14 @@
             if now_s > grant.expires_s + _EXPIRY_SLACK_S:
                 self._forget(grant_id, now_s)
 
+    def forget_old_asks(self, now_s: float) -> None:
+        """Drop the answers kept for asks that come again."""
+        self._granted_asks = {
+            ask_id: granted
+            for ask_id, granted in self._granted_asks.items()
+            if now_s < granted.ask.deadline_at_s
+        }
+
     def _decide_queue(
         self,
         pool: Pool,
@@ -269,7 +279,12 @@
             return best
         return None
 
-    def _grant(self, ask: Ask, use: BackendUse, now_s: float) -> Decision:
+    def _grant(
+        self,
+        ask: Ask,
+        use: BackendUse,
+        now_s: float,
+    ) -> Granted | Denied:
         if ask.is_repeat and not self._budget(ask.pool, now_s).take(now_s):
             return Denied(ask, AskEnd.REPEAT_BUDGET)
         if not ask.is_repeat:
@@ -347,14 +362,6 @@
         grant = self._grants.pop(grant_id)
         self._release(grant, SendOutcome.UNUSED, now_s)
 
-    def forget_old_asks(self, now_s: float) -> None:
-        """Drop the answers kept for asks that come again."""
-        self._granted_asks = {
-            ask_id: granted
-            for ask_id, granted in self._granted_asks.items()
-            if now_s < granted.ask.deadline_at_s
-        }
-
     def _queue(self, pool: Pool) -> ServiceQueue:
         queue = self._queues.get(pool)
         if queue is None:
--- a/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
@@ -8,7 +8,6 @@
 
 from turmericpost_core.fleet.backends import Backend
 
-
 Pool: TypeAlias = tuple[str, str]
 
 
--- a/packages/turmericpost-core/src/turmericpost_core/membership/address_choice.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/address_choice.py
@@ -48,9 +48,7 @@
         if where in allowed and where != region
     ]
     for domains in (near, same, other, [failure_domain]):
-        found = [
-            vm for domain in domains for vm in view.ready(domain, now_s)
-        ]
+        found = [vm for domain in domains for vm in view.ready(domain, now_s)]
         if found:
             return tuple(found[:MOST_ADDRESSES])
     return ()
--- a/packages/turmericpost-core/src/turmericpost_core/routing/domain_order.py
+++ b/packages/turmericpost-core/src/turmericpost_core/routing/domain_order.py
@@ -20,19 +20,17 @@
     Domains of one region begin at ``point``, between 0 and 1, of their
     slots, so that calls from elsewhere spread.
     """
+    allowed = {
+        domain: domain_regions.get(domain, '')
+        for domain in sorted(slots)
+        if slots[domain] and route.may_serve(domain_regions.get(domain, ''))
+    }
     own_region = domain_regions.get(own_domain)
-    near: list[str] = []
-    far: list[str] = []
-    for domain in sorted(slots):
-        region = domain_regions.get(domain, '')
-        if not slots[domain] or not route.may_serve(region):
-            continue
-        if domain != own_domain:
-            (near if region == own_region else far).append(domain)
+    others = [domain for domain in allowed if domain != own_domain]
+    near = [domain for domain in others if allowed[domain] == own_region]
+    far = [domain for domain in others if allowed[domain] != own_region]
     order = (*_rotated(near, slots, point), *_rotated(far, slots, point))
-    if slots.get(own_domain) and route.may_serve(own_region or ''):
-        return (own_domain, *order)
-    return order
+    return (own_domain, *order) if own_domain in allowed else order
 
 
 def _rotated(
--- a/packages/turmericpost-entry/src/turmericpost/admin/views.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/views.py
@@ -8,8 +8,8 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.observe.metrics import Metrics
 from turmericpost.configlog.publisher import Publisher
+from turmericpost.observe.metrics import Metrics
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_core.config.document import BackendServer
--- a/packages/turmericpost-entry/src/turmericpost/configlog/clients.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/clients.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 from typing import Any
 
-from turmericpost.observe.metrics import Metrics
 from turmericpost.configlog.follower import (
     ConfigurationFollower,
     ConfigurationListener,
@@ -17,6 +16,7 @@
 from turmericpost.configlog.settings import PlatformSettings
 from turmericpost.configlog.snapshots import SnapshotWriter
 from turmericpost.configlog.vm_list import VmListClient
+from turmericpost.observe.metrics import Metrics
 from turmericpost_core.clock import Clock
 
 
--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -7,7 +7,6 @@
 
 from twisted.internet.task import deferLater
 
-from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.configlog.log_client import (
     LogBatch,
     LogClient,
@@ -15,6 +14,7 @@
     LogErrorKind,
     LogRecord,
 )
+from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.config.fold import (
     ChangeVerdict,
     Configuration,
--- a/packages/turmericpost-entry/src/turmericpost/configlog/snapshots.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/snapshots.py
@@ -4,9 +4,9 @@
 
 from datetime import timedelta
 
-from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.configlog.follower import ConfigurationFollower
 from turmericpost.configlog.log_client import LogClient
+from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.records import encode_record
 from turmericpost_core.config.snapshots import (
--- a/packages/turmericpost-entry/src/turmericpost/configlog/tasks.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/tasks.py
@@ -8,9 +8,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.configlog.clients import PlatformClients
 from turmericpost.configlog.settings import PlatformSettings
+from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost_core.membership.ring import owners
 from turmericpost_core.membership.view import MembershipView
 
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/learning.py
@@ -0,0 +1,117 @@
+"""How this VM learns: by reading the store in turn, and from other VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from turmericpost.fleet.messages import Knowledge
+from turmericpost.fleet.snapshot_stream import SnapshotFetches
+from turmericpost.fleet.store import FleetStore
+from turmericpost.fleet.store_reader import ReaderListeners, StoreReader
+from turmericpost_core.clock import Clock
+from turmericpost_core.fleet.state import FleetSnapshot, FleetState
+from turmericpost_core.membership.domain_view import DomainView, Vm
+from turmericpost_core.membership.store_turns import ReadPace, is_reader
+
+FOREIGN_PATIENCE_S = 0.3
+"""Time given to one's own domain to learn what another domain knows, since
+snapshots between domains are billed."""
+
+OLDEST_READ_S = 999.0
+"""Age told of a read that never was."""
+
+_READER_SUBJECT = 'store-reader'
+
+
+class Learning:
+    """Keeps the state of this VM up to date."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        store: FleetStore,
+        view: DomainView,
+        pace: ReadPace,
+        changed: Callable[[str], None],
+    ) -> None:
+        self.state = FleetState()
+        self.reader = StoreReader(
+            reactor,
+            clock,
+            store,
+            self.state,
+            pace,
+            ReaderListeners(self.is_reader, changed),
+        )
+        self._clock = clock
+        self._view = view
+        self._pace = pace
+        self._changed = changed
+        self._fetches = SnapshotFetches(reactor, self._adopt)
+        self._read_ages_s: dict[str, tuple[float, float]] = {}
+        self._ahead_from_s: dict[str, float] = {}
+
+    def knowledge(self) -> Knowledge:
+        """Return how new what this VM knows is."""
+        age_s = self._clock.monotonic_s() - self.reader.read_s
+        return Knowledge(
+            read_age_s=min(age_s, OLDEST_READ_S),
+            operator_offset=self.state.operator_offset,
+            backends=self.state.directory.version,
+            next_offset=self.state.directory.next_offset,
+        )
+
+    def is_reader(self) -> bool:
+        """Return whether it is this VM's turn to read the store."""
+        now_s = self._clock.monotonic_s()
+        own = self._view.own
+        ranked = self._view.ranked(_READER_SUBJECT, own.failure_domain, now_s)
+        ages_s = {
+            name: age_s + now_s - heard_s
+            for name, (age_s, heard_s) in self._read_ages_s.items()
+        }
+        names = tuple(vm.name for vm in ranked)
+        return is_reader(names, own.name, ages_s, self._pace)
+
+    def heard(self, vm: Vm, knowledge: Knowledge) -> None:
+        """Fetch what another VM knows if it is newer.
+
+        From another domain only after giving one's own some time.
+        """
+        now_s = self._clock.monotonic_s()
+        is_near = vm.failure_domain == self._view.own.failure_domain
+        if is_near:
+            self._read_ages_s[vm.name] = (knowledge.read_age_s, now_s)
+        if not self._is_ahead(knowledge):
+            self._ahead_from_s.pop(vm.failure_domain, None)
+            self._skip_unchanged(knowledge)
+            return
+        since_s = self._ahead_from_s.setdefault(vm.failure_domain, now_s)
+        if is_near or now_s - since_s > FOREIGN_PATIENCE_S:
+            self._fetches.fetch(vm)
+
+    def vms_lost(self, names: Iterable[str]) -> None:
+        """Forget how new the reads of lost VMs were."""
+        for name in names:
+            self._read_ages_s.pop(name, None)
+
+    def _is_ahead(self, knowledge: Knowledge) -> bool:
+        state = self.state
+        if knowledge.operator_offset > state.operator_offset:
+            return True
+        return knowledge.backends > state.directory.version
+
+    def _skip_unchanged(self, knowledge: Knowledge) -> None:
+        """Go on reading where another VM is, if it found nothing new."""
+        directory = self.state.directory
+        if knowledge.backends == directory.version:
+            directory.next_offset = max(
+                directory.next_offset,
+                knowledge.next_offset,
+            )
+
+    def _adopt(self, snapshot: FleetSnapshot, vm_name: str) -> None:
+        if self.state.adopt(snapshot):
+            self._changed(vm_name)
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -0,0 +1,178 @@
+"""Msgpack form of the datagrams between entry VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import astuple, dataclass
+from typing import Any
+
+import msgpack
+from result import Err, Ok, Result
+
+from turmericpost.fleet.messages import (
+    AskMessage,
+    Cancelled,
+    DenialMessage,
+    Digest,
+    FinishMessage,
+    Heartbeat,
+    Knowledge,
+    KnownVms,
+    Message,
+    PermitMessage,
+    Queued,
+)
+from turmericpost_core.fleet.backends import Backend
+from turmericpost_core.grants.permits import (
+    AskEnd,
+    Finish,
+    LoadFigures,
+    SendOutcome,
+)
+from turmericpost_core.membership.domain_view import Vm, VmStanding
+
+
+@dataclass(frozen=True)
+class MalformedMessage:
+    """A datagram that can't be decoded."""
+
+    detail: str
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    kind = _KINDS.index(type(message))
+    packed: bytes = msgpack.packb(
+        [kind, astuple(message)],
+        default=_packable,
+    )
+    return packed
+
+
+def decode_message(wire: bytes) -> Result[Message, MalformedMessage]:
+    """Build a typed message from a datagram."""
+    try:
+        return Ok(_unpack(wire))
+    except (ValueError, TypeError, LookupError) as error:
+        return Err(MalformedMessage(repr(error)))
+
+
+def unpack_backend(fields: Any) -> Backend:
+    """Return the backend server of a packed one."""
+    return Backend(*fields)
+
+
+def unpack_vm(fields: Any) -> Vm:
+    """Return the entry VM of a packed one."""
+    return Vm(*fields)
+
+
+def _unpack(wire: bytes) -> Message:
+    kind, fields = msgpack.unpackb(wire, strict_map_key=False)
+    return _DECODERS[kind](fields)
+
+
+def _packable(unpacked: object) -> object:
+    if isinstance(unpacked, (SendOutcome, AskEnd)):
+        return unpacked.value
+    if isinstance(unpacked, frozenset):
+        return tuple(unpacked)
+    raise TypeError(type(unpacked).__name__)
+
+
+def _knowledge(fields: Any) -> Knowledge:
+    read_age_s, operator_offset, backends, next_offset = fields
+    changed, given_up = backends
+    return Knowledge(
+        read_age_s,
+        operator_offset,
+        (changed, given_up),
+        next_offset,
+    )
+
+
+def _standings(fields: Any) -> tuple[tuple[Vm, VmStanding], ...]:
+    return tuple(
+        (unpack_vm(vm), VmStanding(standing)) for vm, standing in fields
+    )
+
+
+def _heartbeat(fields: Any) -> Heartbeat:
+    vm, standing, knowledge, holds = fields
+    return Heartbeat(
+        unpack_vm(vm),
+        VmStanding(standing),
+        _knowledge(knowledge),
+        dict(holds),
+    )
+
+
+def _known_vms(fields: Any) -> KnownVms:
+    return KnownVms(tuple(unpack_vm(vm) for vm in fields[0]))
+
+
+def _digest(fields: Any) -> Digest:
+    domain, age_s, vms, knowledge, sender = fields
+    return Digest(
+        domain,
+        age_s,
+        _standings(vms),
+        _knowledge(knowledge),
+        sender,
+    )
+
+
+def _ask(fields: Any) -> AskMessage:
+    plain = list(fields)
+    plain.append(tuple(plain.pop()))
+    return AskMessage(*plain)
+
+
+def _permit(fields: Any) -> PermitMessage:
+    ask_id, grant_id, backend, slowness_percent, report_age_s = fields
+    return PermitMessage(
+        ask_id,
+        grant_id,
+        unpack_backend(backend),
+        slowness_percent,
+        report_age_s,
+    )
+
+
+def _denial(fields: Any) -> DenialMessage:
+    ask_id, end, retry_after_s = fields
+    return DenialMessage(ask_id, AskEnd(end), retry_after_s)
+
+
+def _finish(fields: Any) -> FinishMessage:
+    grant_id, packed = fields
+    outcome, latency_s, figures = packed
+    report = None if figures is None else LoadFigures(*figures)
+    return FinishMessage(
+        grant_id,
+        Finish(SendOutcome(outcome), latency_s, report),
+    )
+
+
+_KINDS = (
+    Heartbeat,
+    KnownVms,
+    Digest,
+    AskMessage,
+    Queued,
+    PermitMessage,
+    DenialMessage,
+    Cancelled,
+    FinishMessage,
+)
+_DECODERS: tuple[Callable[[Any], Message], ...] = (
+    _heartbeat,
+    _known_vms,
+    _digest,
+    _ask,
+    lambda fields: Queued(*fields),
+    _permit,
+    _denial,
+    lambda fields: Cancelled(*fields),
+    _finish,
+)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
@@ -4,18 +4,16 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from twisted.internet.protocol import DatagramProtocol
 
+from turmericpost.fleet.message_codec import decode_message, encode_message
 from turmericpost.fleet.messages import (
     Digest,
     Heartbeat,
     Knowledge,
     KnownVms,
     Message,
-    decode_message,
-    encode_message,
 )
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.clock import Clock
@@ -23,7 +21,6 @@
     DomainDigest,
     DomainView,
     Vm,
-    VmStanding,
 )
 
 HEARTBEAT_S = 0.25
@@ -32,6 +29,9 @@
 DIGEST_S = 1.0
 """Time between digests to other domains, whose bytes are billed."""
 
+PASSED_ON_AGE_S = 0.001
+"""Age of a digest that was passed on, which is not passed on again."""
+
 REP_SUBJECT = 'digests'
 
 
@@ -175,10 +175,10 @@
         sender = by_name.get(digest.sender)
         if sender is not None:
             self._listeners.heard_knowledge(sender, digest.knowledge)
-        if digest.age_s == 0:
+        if not digest.age_s:
             passed_on = Digest(
                 digest.failure_domain,
-                0.001,
+                PASSED_ON_AGE_S,
                 digest.vms,
                 digest.knowledge,
                 digest.sender,
@@ -213,5 +213,3 @@
                 host=host,
                 detail=detail,
             )
-
-
--- a/packages/turmericpost-entry/src/turmericpost/fleet/snapshot_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/snapshot_codec.py
@@ -8,7 +8,10 @@
 import msgpack
 from result import Err, Ok, Result
 
-from turmericpost.fleet.messages import MalformedMessage, unpack_backend
+from turmericpost.fleet.message_codec import (
+    MalformedMessage,
+    unpack_backend,
+)
 from turmericpost_core.fleet.operator_config import (
     CallerLimits,
     OperatorConfig,
@@ -93,9 +96,6 @@
 
 def _unpack_route(fields: Any) -> OperatorRoute:
     *plain, split, max_attempts, home_regions = fields
-    return OperatorRoute(
-        *plain,
-        tuple(SplitPart(*part) for part in split),
-        max_attempts,
-        frozenset(home_regions),
-    )
+    parts = tuple(SplitPart(*part) for part in split)
+    plain.extend((parts, max_attempts, frozenset(home_regions)))
+    return OperatorRoute(*plain)
--- a/packages/turmericpost-entry/src/turmericpost/forward/assembly.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/assembly.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from turmericpost.configlog.log_client import LogClient
 from turmericpost.forward.attempt import AttemptTools
 from turmericpost.forward.claims import KeyClaims
 from turmericpost.forward.forwarder import Forwarder
@@ -13,7 +14,6 @@
 from turmericpost.forward.settings import ForwardSettings
 from turmericpost.forward.well_known import AddressAnswers
 from turmericpost.observe.metrics import Metrics
-from turmericpost.configlog.log_client import LogClient
 from turmericpost_core.routing.balancer import Balancer
 
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 from typing import Protocol as Interface
@@ -31,6 +32,7 @@
     record_send,
 )
 from turmericpost_core.outcome.reasons import RefusalReason
+from turmericpost_core.routing.domain_tour import Stop, domain_tour
 
 KEPT_BODY_BYTES = 65536
 """Size up to which a request is held until it is whole before it is sent,
@@ -129,8 +131,7 @@
         self._ask_id: str | None = None
         self._attempt: Attempt | None = None
         self._tried: set[str] = set()
-        self._domains: list[str] = []
-        self._home_domain: str | None = None
+        self._tour: Iterator[Stop] = iter(())
         self._fallback: HeldAnswer | None = None
         self._last_cause = RefusalReason.CONNECTION_LOST
         self._is_streaming = False
@@ -186,6 +187,10 @@
         if self._attempt is not None:
             self._attempt.resume_answer()
 
+    def asked(self, ask_id: str) -> None:
+        """Keep the id of an ask that has no answer yet."""
+        self._ask_id = ask_id
+
     def permitted(self, permit: Permit) -> None:
         """Send the call."""
         self._ask_id = None
@@ -201,14 +206,8 @@
         self._ask_id = None
         if end in {AskEnd.REPEAT_BUDGET, AskEnd.DEADLINE}:
             self._fail(retry_after_s)
-        elif self._domains:
-            self._ask(self._domains.pop(0), is_last=False)
-        elif self._home_domain is not None:
-            domain = self._home_domain
-            self._home_domain = None
-            self._ask(domain, is_last=True)
         else:
-            self._fail(retry_after_s)
+            self._ask_next(retry_after_s)
 
     def write_request(
         self,
@@ -293,40 +292,30 @@
 
     def _seek(self) -> None:
         """Ask the nearest failure domain first."""
-        domains = list(self._host.domains(self.facts))
-        if not domains:
-            self._fail(0)
-            return
-        first = domains.pop(0)
-        self._domains = domains
-        self._home_domain = first if domains else None
-        self._ask(first, is_last=not domains, is_first=True)
+        self._tour = domain_tour(self._host.domains(self.facts))
+        self._ask_next(0)
 
-    def _ask(
-        self,
-        domain: str,
-        *,
-        is_last: bool,
-        is_first: bool = False,
-    ) -> None:
+    def _ask_next(self, retry_after_s: float) -> None:
+        stop = next(self._tour, None)
+        if stop is None:
+            self._fail(retry_after_s)
+        else:
+            self._host.ask(self._wish(stop), self)
+
+    def _wish(self, stop: Stop) -> Wish:
         facts = self.facts
-        wish = Wish(
+        return Wish(
             service=facts.service,
-            failure_domain=domain,
+            failure_domain=stop.failure_domain,
             rank=facts.route.rank,
             arrived_s=facts.arrived_s,
             objective_at_s=facts.objective_at_s,
             deadline_at_s=facts.deadline_at_s,
             is_repeat=self.record.is_repeat,
-            may_wait=is_last or is_first,
-            may_leave=is_first and not is_last,
+            may_wait=stop.may_wait,
+            may_leave=stop.may_leave,
             excluded=frozenset(self._tried),
         )
-        self._host.ask(wish, self)
-
-    def asked(self, ask_id: str) -> None:
-        """Keep the id of an ask that has no answer yet."""
-        self._ask_id = ask_id
 
     def _repeat(self, attempt: Attempt, end: SendEnd, cause: str) -> None:
         self._host.send_failed(self, attempt, end, cause)
@@ -350,7 +339,7 @@
 
     def _fail(self, retry_after_s: float) -> None:
         """Answer truthfully that there is no answer of a server."""
-        if self._fallback is not None:
+        if self._fallback:
             self._deliver(self._fallback)
         elif failure_step(self.record) is NextStep.FAIL_UNKNOWN:
             self._refuse(Refusal(RefusalReason.CONNECTION_LOST))
@@ -359,15 +348,15 @@
             self._refuse(Refusal(reason, retry_after_s))
 
     def _deadline_passed(self) -> None:
-        attempt = self._attempt
-        was_sent = attempt is not None and attempt.sent_s is not None
-        if attempt is not None:
-            attempt.give_up()
+        was_sent = False
+        if self._attempt:
+            was_sent = self._attempt.sent_s is not None
+            self._attempt.give_up()
         self._stop()
         if self._is_streaming:
             self._close()
             self._exchange.abort()
-        elif self._fallback is not None:
+        elif self._fallback:
             self._deliver(self._fallback)
         elif was_sent or self.record.may_have_run:
             self._refuse(Refusal(RefusalReason.DEADLINE_EXCEEDED))
--- a/packages/turmericpost-entry/src/turmericpost/gateway/endpoints.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/endpoints.py
@@ -41,17 +41,19 @@
 
     def begin(self, exchange: Exchange) -> None:
         """Answer a question."""
-        head = exchange.head
-        question = self.dialect.read_address_question(head)
-        if exchange.failure is not None:
-            exchange.send_whole(_NOT_FOUND, [], b'')
-        elif question is not None:
+        question = self.dialect.read_address_question(exchange.head)
+        if exchange.failure is None and question is not None:
             self._answer_addresses(
                 exchange,
                 question.host,
                 question.failure_domain,
             )
-        elif self.dialect.is_readiness_question(head):
+        else:
+            self._answer_state(exchange)
+
+    def _answer_state(self, exchange: Exchange) -> None:
+        head = exchange.head
+        if self.dialect.is_readiness_question(head):
             status = _OK if self.is_ready() else _UNAVAILABLE
             exchange.send_whole(status, [], b'')
         elif self.dialect.is_metrics_question(head):
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -14,6 +14,7 @@
 from turmericpost.gateway.gateway_metrics import GatewayMetrics
 from turmericpost.gateway.permit_desk import PermitDesk, Wish
 from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.gateway.settings import GatewaySettings
 from turmericpost.http1.exchange import Exchange
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.fleet.operator_config import OperatorRoute
@@ -38,7 +39,7 @@
         tools: AttemptTools,
         state: FleetState,
         desk: PermitDesk,
-        place: tuple[str, dict[str, str]],
+        settings: GatewaySettings,
         metrics: GatewayMetrics,
     ) -> None:
         self.tools = tools
@@ -47,21 +48,21 @@
         self.turns_away: Callable[[], bool] = _never
         self._state = state
         self._desk = desk
-        self._own_domain, self._regions = place
+        self._own_domain = settings.failure_domain
+        self._regions = settings.domain_regions
         self._metrics = metrics
         self._random = Random()
 
     def begin(self, exchange: Exchange) -> None:
         """Begin a call, or refuse it at once."""
         head = self.tools.dialect.read_call(exchange.head)
-        if exchange.failure is not None:
-            self._refuse(exchange, head, Refusal(exchange.failure))
-        elif self._state.config is None:
-            self._refuse(exchange, head, Refusal(RefusalReason.NOT_READY))
-        elif self.turns_away():
-            self._refuse(exchange, head, Refusal(RefusalReason.NOT_READY))
-        else:
+        reason = exchange.failure
+        if reason is None and (self._state.config is None or self.turns_away()):
+            reason = RefusalReason.NOT_READY
+        if reason is None:
             self._route(exchange, head)
+        else:
+            self._refuse(exchange, head, Refusal(reason))
 
     def domains(self, facts: CallFacts) -> tuple[str, ...]:
         """Return the failure domains to try, the nearest first."""
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -9,15 +9,13 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall, deferLater
 
-from turmericpost.fleet.messages import Knowledge
+from turmericpost.fleet.learning import Learning
+from turmericpost.fleet.messages import Message
 from turmericpost.fleet.peers import HEARTBEAT_S, PeerListeners, Peers
-from turmericpost.fleet.snapshot_stream import (
-    SnapshotFetches,
-    SnapshotServer,
-)
+from turmericpost.fleet.snapshot_stream import SnapshotServer
 from turmericpost.fleet.store import FleetStore
-from turmericpost.fleet.store_reader import ReaderListeners, StoreReader
 from turmericpost.gateway.attempt import AttemptTools
+from turmericpost.gateway.broker_desk import BrokerDesk
 from turmericpost.gateway.connections import ServerConnections
 from turmericpost.gateway.dialect import Dialect
 from turmericpost.gateway.endpoints import Endpoints
@@ -28,13 +26,11 @@
 from turmericpost.gateway.ingress import Ingress
 from turmericpost.gateway.leaving import LeavePlan, new_leave_plan
 from turmericpost.gateway.permit_desk import PermitDesk
+from turmericpost.gateway.ports import limited_settings, new_caller_port
 from turmericpost.gateway.probes import Probes
 from turmericpost.gateway.settings import Address, GatewaySettings
-from turmericpost.http1.server import CallerPort
-from turmericpost.http1.settings import CallerSettings
 from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.reactor_clock import ReactorClock
-from turmericpost_core.fleet.state import FleetSnapshot, FleetState
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.limits import RepeatBounds
 from turmericpost_core.membership.domain_view import (
@@ -42,25 +38,20 @@
     Vm,
     VmStanding,
 )
-from turmericpost_core.membership.store_turns import (
-    is_reader,
-    new_read_pace,
-)
+from turmericpost_core.membership.store_turns import new_read_pace
 from turmericpost_core.outcome.reasons import RefusalReason
 
+ACCEPT_BACKLOG = 511
+"""New connections that may wait: more than the callers of a domain."""
+
 SWEEP_S = 0.25
 """Pause between looks at idle connections and old state."""
 
 JOIN_RETRY_S = 1.0
 """Pause between tries to find another VM of the own failure domain."""
 
-FOREIGN_PATIENCE_S = 0.3
-"""Time given to one's own domain to learn what another domain knows, since
-snapshots between domains are billed."""
-
 _SLACK_SHARE = 0.5
 _MS_PER_S = 1000
-_READER_SUBJECT = 'store-reader'
 _LEAVE_CHECK_S = 0.02
 
 
@@ -75,7 +66,6 @@
         dialect: Dialect,
     ) -> None:
         self.clock = ReactorClock(reactor)
-        self.state = FleetState()
         self.metrics = GatewayMetrics()
         self._reactor = reactor
         self._settings = settings
@@ -84,9 +74,6 @@
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self._leave: LeavePlan | None = None
-        self._read_ages_s: dict[str, tuple[float, float]] = {}
-        self._ahead_from_s: dict[str, float] = {}
-        self._pace = new_read_pace(settings.promises.drain_s)
         self.view = DomainView(self._own_vm())
         self._build_fleet()
         self._build_calls()
@@ -103,14 +90,14 @@
         except CannotListenError as error:
             return Err(error)
         for interval_s, step in (
-            (HEARTBEAT_S, self._beat),
+            (HEARTBEAT_S, self.peers.beat),
             (SWEEP_S, self._sweep),
         ):
             loop = LoopingCall(step)
             loop.clock = self._reactor
             loop.start(interval_s).addErrback(log_failure)
             self._loops.append(loop)
-        self._reader.start()
+        self.learning.reader.start()
         Deferred.fromCoroutine(self._join()).addErrback(log_failure)
         return Ok(None)
 
@@ -134,7 +121,7 @@
                 self._caller_port.close_idle()
             await deferLater(self._reactor, _LEAVE_CHECK_S)
         log_event(LogEvent.DRAIN_FINISHED, in_flight=len(self.calls.in_flight))
-        self._reader.stop()
+        self.learning.reader.stop()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Take settings that may change while running: who to join."""
@@ -157,28 +144,28 @@
 
     def _build_fleet(self) -> None:
         settings = self._settings
+        self.learning = Learning(
+            self._reactor,
+            self.clock,
+            self._store,
+            self.view,
+            new_read_pace(settings.promises.drain_s),
+            self._knowledge_changed,
+        )
+        self.state = self.learning.state
         self.peers = Peers(
             self.clock,
             self.view,
             settings.domain_regions,
             PeerListeners(
-                knowledge=self._knowledge,
+                knowledge=self.learning.knowledge,
                 holds_for=lambda name: self.desk.holds_for(name),
-                heard_knowledge=self._heard_knowledge,
-                held=lambda name, holds: self.desk.held(name, holds),
+                heard_knowledge=self.learning.heard,
+                held=lambda name, holds: self.broker_desk.held(name, holds),
                 live_changed=self._live_changed,
-                message=lambda host, one: self.desk.received(host, one),
+                message=self._message_received,
             ),
         )
-        self._reader = StoreReader(
-            self._reactor,
-            self.clock,
-            self._store,
-            self.state,
-            self._pace,
-            ReaderListeners(self._is_reader, self._knowledge_changed),
-        )
-        self._fetches = SnapshotFetches(self._reactor, self._adopt)
 
     def _build_calls(self) -> None:
         settings = self._settings
@@ -198,13 +185,19 @@
             self._dialect,
             self._health_path,
         )
-        self.desk = PermitDesk(
+        self.broker_desk = BrokerDesk(
             self._reactor,
             self.clock,
             broker,
             self.peers,
             self.probes,
         )
+        self.desk = PermitDesk(
+            self._reactor,
+            self.clock,
+            self.peers,
+            self.broker_desk,
+        )
         tools = AttemptTools(
             self.connections,
             self._dialect,
@@ -216,17 +209,13 @@
             tools,
             self.state,
             self.desk,
-            (settings.failure_domain, dict(settings.domain_regions)),
+            settings,
             self.metrics,
         )
         self.calls.turns_away = self._turns_away
-        self._caller_port = self._new_port(self.calls.begin)
-
-    def _new_port(self, begin: Any) -> CallerPort:
-        host, port = self._settings.callers
-        return CallerPort(
-            begin,
-            CallerSettings(caller_host=host, caller_port=port),
+        self._caller_port = new_caller_port(
+            settings.callers,
+            self.calls.begin,
             self.clock,
             self._record_refusal,
         )
@@ -242,7 +231,12 @@
             is_ready=lambda: self.is_ready,
             collector=GatewayCollector(self.metrics, self._gauges),
         )
-        self._endpoint_port = self._new_port(endpoints.begin)
+        self._endpoint_port = new_caller_port(
+            settings.readiness,
+            endpoints.begin,
+            self.clock,
+            self._record_refusal,
+        )
         self._listen(settings.callers, self._caller_port)
         for address in (
             settings.readiness,
@@ -266,7 +260,7 @@
             self._reactor.listenTCP(
                 port,
                 factory,
-                backlog=511,
+                backlog=ACCEPT_BACKLOG,
                 interface=host,
             ),
         )
@@ -298,72 +292,22 @@
     def _has_company(self) -> bool:
         return len(self.view.members(self.clock.monotonic_s())) > 1
 
-    def _knowledge(self) -> Knowledge:
-        age_s = self.clock.monotonic_s() - self._reader.read_s
-        return Knowledge(
-            read_age_s=min(age_s, 999.0),
-            operator_offset=self.state.operator_offset,
-            backends=self.state.directory.version,
-            next_offset=self.state.directory.next_offset,
-        )
-
-    def _heard_knowledge(self, vm: Vm, knowledge: Knowledge) -> None:
-        """Fetch what another VM knows if it is newer.
-
-        From another domain only after giving one's own some time.
-        """
-        now_s = self.clock.monotonic_s()
-        own_domain = self.view.own.failure_domain
-        is_near = vm.failure_domain == own_domain
-        if is_near:
-            heard = (knowledge.read_age_s, now_s)
-            self._read_ages_s[vm.name] = heard
-        mine = self._knowledge()
-        is_newer = knowledge.operator_offset > mine.operator_offset
-        if not (is_newer or knowledge.backends > mine.backends):
-            self._ahead_from_s.pop(vm.failure_domain, None)
-            self._catch_up_offset(knowledge)
-            return
-        since_s = self._ahead_from_s.setdefault(vm.failure_domain, now_s)
-        if is_near or now_s - since_s > FOREIGN_PATIENCE_S:
-            self._fetches.fetch(vm)
-
-    def _catch_up_offset(self, knowledge: Knowledge) -> None:
-        directory = self.state.directory
-        if knowledge.backends == directory.version:
-            directory.next_offset = max(
-                directory.next_offset,
-                knowledge.next_offset,
-            )
-
-    def _adopt(self, snapshot: FleetSnapshot, vm_name: str) -> None:
-        if self.state.adopt(snapshot):
-            self._knowledge_changed(vm_name)
-
-    def _is_reader(self) -> bool:
-        """Return whether it is this VM's turn to read the store."""
-        now_s = self.clock.monotonic_s()
-        own = self.view.own
-        ranked = self.view.ranked(_READER_SUBJECT, own.failure_domain, now_s)
-        ages_s = {
-            name: age_s + now_s - heard_s
-            for name, (age_s, heard_s) in self._read_ages_s.items()
-        }
-        names = tuple(vm.name for vm in ranked)
-        return is_reader(names, own.name, ages_s, self._pace)
-
     def _knowledge_changed(self, source: str) -> None:
         """Put into force what has been learned, and tell the others."""
         now_s = self.clock.monotonic_s()
         state = self.state
         config = state.config
         if config is not None:
-            self.desk.broker.set_services(config.services)
+            self.broker_desk.broker.install_services(config.services)
+            self._caller_port.settings = limited_settings(
+                self._settings.callers,
+                config.limits,
+            )
             if self.view.own_standing is VmStanding.STARTING:
                 self.view.own_standing = VmStanding.READY
                 log_event(LogEvent.READY, config=config.version)
         usable = state.usable_backends()
-        self.desk.broker.set_backends(usable, now_s)
+        self.broker_desk.broker.install_backends(usable, now_s)
         self.connections.retain({one.backend_id for one in usable})
         log_event(
             LogEvent.KNOWLEDGE_CHANGED,
@@ -376,22 +320,22 @@
         )
         self.peers.beat()
 
+    def _message_received(self, host: str, message: Message) -> None:
+        self.broker_desk.received(host, message)
+        self.desk.received(message)
+
     def _live_changed(
         self,
         gained: frozenset[str],
         lost: frozenset[str],
     ) -> None:
-        self.desk.vms_lost(lost)
-        for name in lost:
-            self._read_ages_s.pop(name, None)
-
-    def _beat(self) -> None:
-        self.peers.beat()
+        self.broker_desk.vms_lost(lost)
+        self.learning.vms_lost(lost)
 
     def _sweep(self) -> None:
         self._caller_port.check_time()
         self._endpoint_port.check_time()
-        self.desk.sweep()
+        self.broker_desk.sweep()
         if self.state.directory.expire(self.clock.monotonic_s()):
             self._knowledge_changed('expiry')
 
@@ -410,7 +354,7 @@
         self.metrics.refusals[reason] += 1
 
     def _gauges(self) -> dict[str, float]:
-        knowledge = self._knowledge()
+        knowledge = self.learning.knowledge()
         config = self.state.config
         return {
             'in_flight': len(self.calls.in_flight),
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_desk.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_desk.py
@@ -1,8 +1,8 @@
-"""Permits of this VM: asks of its own calls and of other VMs' calls."""
+"""Permits for the calls of this VM: asked of the broker of their pool."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 from typing import Protocol as Interface
@@ -17,20 +17,10 @@
     Queued,
 )
 from turmericpost.fleet.peers import Peers
-from turmericpost.gateway.probes import Probes
+from turmericpost.gateway.broker_desk import BrokerDesk, asker_of, read_ask
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
-from turmericpost_core.grants.broker import Broker
-from turmericpost_core.grants.permits import (
-    Ask,
-    AskEnd,
-    Decision,
-    Denied,
-    Finish,
-    Granted,
-    LoadFigures,
-    ProbeWanted,
-)
+from turmericpost_core.grants.permits import AskEnd, Finish
 from turmericpost_core.membership.domain_view import Vm
 
 RESEND_S = 0.05
@@ -39,8 +29,8 @@
 BROKER_SILENCE_S = 0.16
 """Silence of a broker after which the next VM in rank is asked."""
 
-REVIEW_S = 0.02
-"""Pause between looks at waiting asks: a third of a report's freshness."""
+LOOK_S = 0.02
+"""Pause between looks at asks without an answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,10 +55,14 @@
 
     grant_id: str
     backend: Backend
-    broker: str
     slowness_percent: float
     report_age_s: float
 
+    @property
+    def broker(self) -> str:
+        """Name of the VM that gave it."""
+        return asker_of(self.grant_id)
+
 
 class PermitTaker(Interface):
     """Takes what becomes of an ask."""
@@ -83,8 +77,8 @@
         """Learn that there is no permit."""
 
 
-class PendingAsk:
-    """An ask of a call of this VM."""
+class _PendingAsk:
+    """An ask without an answer, and whom it went to."""
 
     def __init__(self, ask_id: str, wish: Wish, taker: PermitTaker) -> None:
         self.ask_id = ask_id
@@ -97,34 +91,32 @@
 
 
 class PermitDesk:
-    """Asks the broker of a pool for permits, and is the broker of some."""
+    """Asks brokers for permits and gives them back."""
 
     def __init__(
         self,
         reactor: Any,
         clock: Clock,
-        broker: Broker,
         peers: Peers,
-        probes: Probes,
+        broker_desk: BrokerDesk,
     ) -> None:
-        self.broker = broker
         self._reactor = reactor
         self._clock = clock
         self._peers = peers
-        self._probes = probes
+        self._broker_desk = broker_desk
         self._own = peers.view.own
-        self._pending: dict[str, PendingAsk] = {}
+        self._pending: dict[str, _PendingAsk] = {}
         self._held: dict[str, Permit] = {}
-        self._askers: dict[str, tuple[str, int]] = {}
         self._asks = 0
-        self._is_reviewing = False
-        probes.taker = self
+        self._is_looking = False
+        broker_desk.own_asks = self
 
     def ask(self, wish: Wish, taker: PermitTaker) -> None:
         """Ask for a permit, which the taker may get at once."""
         self._asks += 1
-        ask_id = f'{self._own.name}.{self._own.started_ms}.{self._asks}'
-        pending = PendingAsk(ask_id, wish, taker)
+        own = self._own
+        ask_id = f'{own.name}.{own.started_ms}.{self._asks}'
+        pending = _PendingAsk(ask_id, wish, taker)
         self._pending[ask_id] = pending
         taker.asked(ask_id)
         self._send(pending)
@@ -135,7 +127,7 @@
         if pending is None or pending.broker is None:
             return
         if pending.broker.name == self._own.name:
-            self.broker.cancel(ask_id)
+            self._broker_desk.broker.cancel(ask_id)
         else:
             self._peers.send(pending.broker, Cancelled(ask_id))
 
@@ -145,219 +137,117 @@
         vm = self._vm(permit.broker)
         if vm is not None and vm.name != self._own.name:
             self._peers.send(vm, FinishMessage(permit.grant_id, finish))
-            return
-        now_s = self._clock.monotonic_s()
-        self._carry_out(self.broker.finished(permit.grant_id, finish, now_s))
+        else:
+            self._broker_desk.finished(permit.grant_id, finish)
 
     def holds_for(self, vm_name: str) -> Mapping[str, str]:
-        """Return the permits in use that concern a broker."""
-        now_s = self._clock.monotonic_s()
-        found: dict[str, str] = {}
-        for grant_id, permit in self._held.items():
-            backend = permit.backend
-            subject = f'{backend.service}@{backend.failure_domain}'
-            ranked = self._peers.view.ranked(
-                subject,
-                backend.failure_domain,
-                now_s,
-            )
-            if vm_name in {permit.broker, ranked[0].name}:
-                found[grant_id] = backend.backend_id
-        return found
-
-    def held(self, vm_name: str, holds: Mapping[str, str]) -> None:
-        """Take what another VM says it holds."""
-        now_s = self._clock.monotonic_s()
-        self.broker.held(vm_name, holds, now_s)
-        self._carry_out(self.broker.decide(now_s))
+        """Return the permits in use that concern a broker.
 
-    def vms_lost(self, names: Iterable[str]) -> None:
-        """Free what lost VMs held."""
+        Those are the ones it gave, and those of pools that it has taken
+        over from a broker that is gone.
+        """
         now_s = self._clock.monotonic_s()
-        for name in names:
-            self.broker.vm_lost(name, now_s)
-        self._carry_out(self.broker.decide(now_s))
-
-    def received(self, host: str, message: Message) -> None:
-        """Act on a message about permits."""
-        if isinstance(message, AskMessage):
-            self._asked(host, message)
-        elif isinstance(message, PermitMessage):
-            self._permit_came(message)
+        return {
+            grant_id: permit.backend.backend_id
+            for grant_id, permit in self._held.items()
+            if vm_name in {permit.broker, self._current(permit, now_s)}
+        }
+
+    def received(self, message: Message) -> None:
+        """Act on a message of a broker."""
+        if isinstance(message, PermitMessage):
+            self.permit_came(message)
         elif isinstance(message, DenialMessage):
-            self._end(message.ask_id, message.end, message.retry_after_s)
+            self.denial_came(message)
         elif isinstance(message, Queued):
-            self._queued(message.ask_id)
-        elif isinstance(message, Cancelled):
-            self.broker.cancel(message.ask_id)
-        elif isinstance(message, FinishMessage):
-            now_s = self._clock.monotonic_s()
-            finish = message.finish
-            self._carry_out(
-                self.broker.finished(message.grant_id, finish, now_s),
-            )
-
-    def review(self) -> None:
-        """Look after waiting asks; to be called often while there are any."""
-        now_s = self._clock.monotonic_s()
-        for pending in tuple(self._pending.values()):
-            self._look_after(pending, now_s)
-        self._carry_out(self.broker.decide(now_s))
-
-    def sweep(self) -> None:
-        """Forget what is long over."""
-        now_s = self._clock.monotonic_s()
-        self.broker.expire(now_s)
-        self.broker.forget_old_asks(now_s)
+            pending = self._pending.get(message.ask_id)
+            if pending is not None:
+                pending.silent_from_s = self._clock.monotonic_s()
 
-    def probed(
-        self,
-        backend_id: str,
-        figures: LoadFigures | None,
-        *,
-        is_healthy: bool,
-    ) -> None:
-        """Take the answer to a probe."""
-        now_s = self._clock.monotonic_s()
-        self._carry_out(
-            self.broker.probed(
-                backend_id,
-                figures,
-                now_s,
-                is_healthy=is_healthy,
-            ),
+    def permit_came(self, message: PermitMessage) -> None:
+        """Hand a permit to its call; one too late goes back."""
+        permit = Permit(
+            message.grant_id,
+            message.backend,
+            message.slowness_percent,
+            message.report_age_s,
         )
+        pending = self._pending.pop(message.ask_id, None)
+        if pending is not None:
+            self._held[permit.grant_id] = permit
+            pending.taker.permitted(permit)
+        elif permit.grant_id not in self._held:
+            vm = self._vm(permit.broker)
+            if vm is not None:
+                self._peers.send(vm, Cancelled(message.ask_id))
 
-    def probe_failed(self, backend_id: str) -> None:
-        """Note a probe without an answer."""
-        self.broker.probe_failed(backend_id, self._clock.monotonic_s())
+    def denial_came(self, message: DenialMessage) -> None:
+        """Tell the call that there is no permit."""
+        pending = self._pending.pop(message.ask_id, None)
+        if pending is not None:
+            pending.taker.denied(message.end, message.retry_after_s)
 
-    def _send(self, pending: PendingAsk) -> None:
+    def _send(self, pending: _PendingAsk) -> None:
         """Send an ask to the first VM in rank that was not silent to it."""
         now_s = self._clock.monotonic_s()
         wish = pending.wish
-        ranked = self._peers.view.ranked(
-            f'{wish.service}@{wish.failure_domain}',
-            wish.failure_domain,
-            now_s,
-        )
+        ranked = self._ranked(wish.service, wish.failure_domain, now_s)
         fit = [vm for vm in ranked if vm.name not in pending.asked]
         pending.broker = fit[0] if fit else self._own
         pending.asked.add(pending.broker.name)
         pending.silent_from_s = now_s
-        self._resend(pending, now_s)
-        self._review_soon()
+        self._resend(pending, pending.broker, now_s)
+        self._look_soon()
 
-    def _resend(self, pending: PendingAsk, now_s: float) -> None:
+    def _resend(self, pending: _PendingAsk, broker: Vm, now_s: float) -> None:
         pending.sent_s = now_s
-        broker = pending.broker
-        if broker is None:
-            return
-        if broker.name != self._own.name:
-            self._peers.send(broker, _message(pending, now_s))
-        elif pending.ask_id in self._pending:
-            ask = _ask(pending, self._own.name)
-            self._carry_out(self.broker.ask(ask, now_s))
-
-    def _look_after(self, pending: PendingAsk, now_s: float) -> None:
-        broker = pending.broker
-        if broker is None or broker.name == self._own.name:
-            return
+        message = _message(pending, now_s)
+        if broker.name == self._own.name:
+            self._broker_desk.ask(read_ask(message, now_s))
+        else:
+            self._peers.send(broker, message)
+
+    def _look_soon(self) -> None:
+        if self._pending and not self._is_looking:
+            self._is_looking = True
+            self._reactor.callLater(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        """Send asks again that got no answer, or to the next VM in rank."""
+        self._is_looking = False
+        now_s = self._clock.monotonic_s()
+        for pending in tuple(self._pending.values()):
+            broker = pending.broker
+            if broker is not None and broker.name != self._own.name:
+                self._look_after(pending, broker, now_s)
+        self._look_soon()
+
+    def _look_after(
+        self,
+        pending: _PendingAsk,
+        broker: Vm,
+        now_s: float,
+    ) -> None:
         if now_s - pending.silent_from_s > BROKER_SILENCE_S:
             self._peers.send(broker, Cancelled(pending.ask_id))
             self._send(pending)
         elif now_s - pending.sent_s > RESEND_S:
-            self._resend(pending, now_s)
+            self._resend(pending, broker, now_s)
 
-    def _asked(self, host: str, message: AskMessage) -> None:
-        now_s = self._clock.monotonic_s()
-        asker = message.ask_id.partition('.')[0]
-        self._askers[message.ask_id] = (host, self._own.peer_port)
-        ask = Ask(
-            ask_id=message.ask_id,
-            asker=asker,
-            service=message.service,
-            failure_domain=message.failure_domain,
-            rank=message.rank,
-            arrived_s=now_s - message.waited_s,
-            asked_s=now_s,
-            objective_at_s=now_s + message.objective_s,
-            deadline_at_s=now_s + message.deadline_s,
-            is_repeat=message.is_repeat,
-            may_wait=message.may_wait,
-            may_leave=message.may_leave,
-            excluded=frozenset(message.excluded),
-        )
-        decisions = self.broker.ask(ask, now_s)
-        if not any(_ends(one, ask.ask_id) for one in decisions):
-            self._reply(message.ask_id, Queued(message.ask_id))
-        self._carry_out(decisions)
-        self._review_soon()
-
-    def _queued(self, ask_id: str) -> None:
-        pending = self._pending.get(ask_id)
-        if pending is not None:
-            pending.silent_from_s = self._clock.monotonic_s()
-
-    def _permit_came(self, message: PermitMessage) -> None:
-        pending = self._pending.pop(message.ask_id, None)
-        broker = message.grant_id.partition('.')[0]
-        permit = Permit(
-            message.grant_id,
-            message.backend,
-            broker,
-            message.slowness_percent,
-            message.report_age_s,
-        )
-        if pending is not None:
-            self._held[permit.grant_id] = permit
-            pending.taker.permitted(permit)
-        elif permit.grant_id not in self._held:
-            vm = self._vm(broker)
-            if vm is not None:
-                self._peers.send(vm, Cancelled(message.ask_id))
-
-    def _end(self, ask_id: str, end: AskEnd, retry_after_s: float) -> None:
-        pending = self._pending.pop(ask_id, None)
-        if pending is not None:
-            pending.taker.denied(end, retry_after_s)
-
-    def _carry_out(self, decisions: tuple[Decision, ...]) -> None:
-        for decision in decisions:
-            if isinstance(decision, ProbeWanted):
-                self._probes.send(decision.backend)
-            elif isinstance(decision, Granted):
-                self._tell_granted(decision)
-            else:
-                self._tell_denied(decision)
-
-    def _tell_granted(self, granted: Granted) -> None:
-        message = PermitMessage(
-            granted.ask.ask_id,
-            granted.grant_id,
-            granted.backend,
-            granted.slowness_percent,
-            min(granted.report_age_s, 9.0),
-        )
-        if granted.ask.asker == self._own.name:
-            self._permit_came(message)
-        else:
-            self._reply(granted.ask.ask_id, message)
+    def _current(self, permit: Permit, now_s: float) -> str:
+        """Return the VM that is the broker of a permit's pool now."""
+        backend = permit.backend
+        domain = backend.failure_domain
+        return self._ranked(backend.service, domain, now_s)[0].name
 
-    def _tell_denied(self, denied: Denied) -> None:
-        ask_id = denied.ask.ask_id
-        if denied.ask.asker == self._own.name:
-            self._end(ask_id, denied.end, denied.retry_after_s)
-        else:
-            message = DenialMessage(ask_id, denied.end, denied.retry_after_s)
-            self._reply(ask_id, message)
-
-    def _reply(self, ask_id: str, message: Message) -> None:
-        address = self._askers.get(ask_id)
-        if address is not None:
-            self._peers.send_to(*address, message)
-        if not isinstance(message, Queued):
-            self._askers.pop(ask_id, None)
+    def _ranked(
+        self,
+        service: str,
+        domain: str,
+        now_s: float,
+    ) -> tuple[Vm, ...]:
+        subject = f'{service}@{domain}'
+        return self._peers.view.ranked(subject, domain, now_s)
 
     def _vm(self, name: str) -> Vm | None:
         for vm in self._peers.view.known():
@@ -365,44 +255,8 @@
                 return vm
         return None
 
-    def _review_soon(self) -> None:
-        if not self._is_reviewing:
-            self._is_reviewing = True
-            self._reactor.callLater(REVIEW_S, self._reviewed)
-
-    def _reviewed(self) -> None:
-        self._is_reviewing = False
-        self.review()
-        if self._pending or self.broker.has_waiting:
-            self._review_soon()
-
-
-def _ends(decision: Decision, ask_id: str) -> bool:
-    if isinstance(decision, ProbeWanted):
-        return False
-    return decision.ask.ask_id == ask_id
-
-
-def _ask(pending: PendingAsk, asker: str) -> Ask:
-    wish = pending.wish
-    return Ask(
-        ask_id=pending.ask_id,
-        asker=asker,
-        service=wish.service,
-        failure_domain=wish.failure_domain,
-        rank=wish.rank,
-        arrived_s=wish.arrived_s,
-        asked_s=pending.silent_from_s,
-        objective_at_s=wish.objective_at_s,
-        deadline_at_s=wish.deadline_at_s,
-        is_repeat=wish.is_repeat,
-        may_wait=wish.may_wait,
-        may_leave=wish.may_leave,
-        excluded=wish.excluded,
-    )
-
 
-def _message(pending: PendingAsk, now_s: float) -> AskMessage:
+def _message(pending: _PendingAsk, now_s: float) -> AskMessage:
     wish = pending.wish
     return AskMessage(
         ask_id=pending.ask_id,
@@ -417,5 +271,3 @@
         may_leave=wish.may_leave,
         excluded=tuple(wish.excluded),
     )
-
-
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -11,6 +11,8 @@
 
 from turmericpost.admin.resources import admin_root
 from turmericpost.admin.views import AdminState
+from turmericpost.configlog.clients import connect_platform
+from turmericpost.configlog.tasks import PlatformTasks
 from turmericpost.forward.assembly import CallPathParts, new_forwarder
 from turmericpost.forward.keyed_calls import KeyPlace
 from turmericpost.forward.owning import Owning, OwningParts
@@ -21,8 +23,6 @@
 from turmericpost.observe.metrics import Metrics
 from turmericpost.peer.service import PeerListeners, new_peer_service
 from turmericpost.peer.stream import PeerListener
-from turmericpost.configlog.clients import connect_platform
-from turmericpost.configlog.tasks import PlatformTasks
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.settings_groups import Settings
 from turmericpost_core.config.fold import Configuration
--- a/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
@@ -32,7 +32,7 @@
 
     def add(self, line: str) -> None:
         """Keep a line, or count it as left out."""
-        wire = line.encode('utf-8') + b'\n'
+        wire = f'{line}\n'.encode()
         if len(self._waiting) + len(wire) > BUFFER_BYTES:
             self.left_out += 1
         else:
--- a/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
@@ -47,11 +47,10 @@
 def _install_signals(node: GatewayNode, path: str) -> None:
     ending = ProcessEnd(reactor, node.stop)
     reactor.callWhenRunning(ending.install)
-
-    def reload(_number: int, _frame: object) -> None:
-        reactor.callFromThread(_reload, node, path)
-
-    signal.signal(signal.SIGHUP, reload)
+    signal.signal(
+        signal.SIGHUP,
+        lambda _number, _frame: reactor.callFromThread(_reload, node, path),
+    )
 
 
 def _reload(node: GatewayNode, path: str) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
@@ -40,12 +40,14 @@
         return Err('the key is not known')
     try:
         config = _config(json.loads(record.text))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (LookupError, TypeError, ValueError) as error:
         return Err(f'{type(error).__name__}: {error}')
     return Ok(OperatorChange(record.offset, config=config))
 
 
 def _config(body: Any) -> OperatorConfig:
+    if not isinstance(body, dict):
+        raise TypeError('the configuration is not an object')
     services = {
         spec.name: spec for spec in map(_service, body.get('Services', ()))
     }
@@ -78,7 +80,7 @@
     timeout_s = float(body['TimeoutMs']) / _MS_PER_S
     return OperatorRoute(
         name=body['Name'],
-        host=body['Host'].lower(),
+        host=str(body['Host']).lower(),
         path_prefix=body['PathPrefix'],
         is_idempotent=kind == 'idempotent',
         timeout_s=timeout_s,
--- a/packages/turmericpost-entry/src/turmericpost/platform/settings_file.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/settings_file.py
@@ -44,11 +44,10 @@
     text: str,
 ) -> Result[GatewaySettings, SettingsFileError]:
     """Decode the text of a settings file; unknown fields are ignored."""
-    fields = dict(
-        (part.strip() for part in line.split('=', 1))
-        for line in text.splitlines()
-        if '=' in line
-    )
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        key, _, field = line.partition('=')
+        fields[key.strip()] = field.strip()
     try:
         return Ok(_settings(fields))
     except KeyError as missing:
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -119,7 +119,7 @@
         body = encode_keyed(vm.name, encode_vm(vm))
         request = LaneRequest('POST', query, body)
         sent = await self._call(self._write_lane, request, CALL_TIMEOUT_S)
-        return sent.map(_nothing)
+        return Err(sent.unwrap_err()) if sent.is_err() else Ok(None)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], StoreError]:
         """Return every VM that announced itself."""
@@ -206,10 +206,6 @@
     return StoreError(StoreErrorKind(error.value))
 
 
-def _nothing(_body_bytes: bytes) -> None:
-    return None
-
-
 def _registrations(read: KeyedRead) -> Registrations:
     records, invalid = _decoded(read, decode_registration)
     return Registrations(records, invalid, read.next_offset)
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_wire.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_wire.py
@@ -63,7 +63,7 @@
     place = _ENDS.size
     offset = from_offset
     while place + _LENGTH.size <= len(body):
-        (length,) = _LENGTH.unpack_from(body, place)
+        length = int.from_bytes(body[place : place + _LENGTH.size], 'big')
         place += _LENGTH.size
         if place + length > len(body):
             return Err(_unreadable('a record is cut short'))
@@ -92,7 +92,8 @@
 
 
 def _keyed(offset: int, record: bytes) -> KeyedRecord:
-    split = 1 + (record[0] if record else 0)
+    key_bytes = record[0] if record else 0
+    split = 1 + key_bytes
     key = record[1:split].decode('utf-8', 'replace')
     return KeyedRecord(offset, key, record[split:])
 
--- a/packages/turmericpost-entry/src/turmericpost/settings_groups.py
+++ b/packages/turmericpost-entry/src/turmericpost/settings_groups.py
@@ -10,11 +10,11 @@
 from result import Err, Ok, Result
 
 from turmericpost.admin.settings import AdminSettings
+from turmericpost.configlog.settings import PlatformSettings
 from turmericpost.forward.settings import ForwardSettings
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.observe.settings import LogSettings
 from turmericpost.peer.settings import PeerSettings
-from turmericpost.configlog.settings import PlatformSettings
 from turmericpost_command.settings.declare import (
     DeclaredSetting,
     declared_settings,
--- a/packages/turmericpost-entry/tests/forward/test_keyed_calls.py
+++ b/packages/turmericpost-entry/tests/forward/test_keyed_calls.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from tests.harness import Backend, Caller, Harness, vm_fact
-from turmericpost.forward.settings import ForwardSettings
 from turmericpost.configlog.log_client import LogErrorKind
+from turmericpost.forward.settings import ForwardSettings
 from turmericpost_core.operations.keys import KEY_LIFETIME_S, key_prefix
 from turmericpost_core.outcome.reasons import RefusalReason
 
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -12,6 +12,12 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
+from turmericpost.configlog.log_client import (
+    LogBatch,
+    LogError,
+    LogErrorKind,
+    LogRecord,
+)
 from turmericpost.forward.attempt import AttemptTools
 from turmericpost.forward.claims import KeyClaims
 from turmericpost.forward.forwarder import Forwarder
@@ -23,12 +29,6 @@
 from turmericpost.http1.server import CallerPort
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.observe.metrics import Metrics
-from turmericpost.configlog.log_client import (
-    LogBatch,
-    LogError,
-    LogErrorKind,
-    LogRecord,
-)
 from turmericpost_core.config.document import (
     BackendServer,
     ClientAccount,
