Refuse malformed heads that the codec lets pass

Cause: the codec checks framing and characters, but not RFC 9112 3.2: a request with two Host fields, none, an asterisk for GET or a fragment was served. Change: http1/strict.py checks the head before the call begins; an absolute target names its own host. Conclusion: the codec is kept, the rest is one small module.

--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -15,6 +15,7 @@
 from turmericpost.http1.exchange import Exchange
 from turmericpost.http1.heads import Headers, RequestHead
 from turmericpost.http1.settings import CallerSettings
+from turmericpost.http1.strict import is_malformed
 from turmericpost_core.clock import Clock
 from turmericpost_core.outcome.reasons import RefusalReason
 
@@ -113,7 +114,7 @@
         exchange = Exchange(head, self, self._port.settings.max_body_bytes)
         self._receiving = exchange
         self._exchanges.append(exchange)
-        if self._parser.version != _HTTP_VERSION:
+        if self._parser.version != _HTTP_VERSION or is_malformed(head):
             exchange.fail_body(RefusalReason.MALFORMED_REQUEST)
         if _size(head) > self._port.settings.max_header_bytes:
             exchange.fail_body(RefusalReason.HEADERS_TOO_LARGE)
--- a/packages/turmericpost-entry/src/turmericpost/platform/call_fields.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/call_fields.py
@@ -48,6 +48,9 @@
         """Return what a request head says."""
         host = _text(head.first(HOST)).lower()
         path = _text(head.target).partition('?')[0]
+        if not path.startswith('/'):
+            absolute = urlsplit(path)
+            host, path = absolute.netloc.lower(), absolute.path or '/'
         left_ms = _figure(head.first(_DEADLINE))
         return CallHead(
             host=host.partition(':')[0],
