--- /dev/null
+++ b/packages/turmericpost-core/tests/fleet/test_backends.py
@@ -0,0 +1,91 @@
+"""Registry of backend servers: folding, lapses, and learning from others."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.grants.samples import backend
+from turmericpost_core.fleet.backends import (
+    RETURN_GRACE_S,
+    BackendDirectory,
+    Registration,
+)
+
+
+def registered(offset: int, number: int, **changes: object) -> Registration:
+    return Registration(offset, f'b{number}', backend(number, **changes))
+
+
+def removed(offset: int, number: int) -> Registration:
+    return Registration(offset, f'b{number}', None)
+
+
+class BackendDirectoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.directory = BackendDirectory()
+        self.directory.fold([registered(0, 0), registered(1, 1)], 0)
+
+    def test_registration_that_says_the_same_is_no_news(self) -> None:
+        version = self.directory.version
+        self.assertFalse(self.directory.fold([registered(2, 0)], 1))
+        self.assertEqual(self.directory.version, version)
+        self.assertEqual(self.directory.next_offset, 3)
+
+    def test_drain_and_removal_are_news(self) -> None:
+        drain = registered(2, 0, is_draining=True)
+        self.assertTrue(self.directory.fold([drain], 1))
+        self.assertTrue(self.directory.fold([removed(3, 1)], 1))
+        self.assertEqual(set(self.directory.backends), {'b0'})
+
+    def test_records_read_twice_count_once(self) -> None:
+        self.directory.fold([removed(2, 0)], 1)
+        self.assertFalse(self.directory.fold([registered(0, 0)], 1))
+        self.assertNotIn('b0', self.directory.backends)
+
+    def test_older_start_does_not_come_back(self) -> None:
+        self.directory.fold([registered(2, 0, started_ms=9)], 1)
+        self.directory.fold([registered(3, 0, started_ms=1)], 1)
+        self.assertEqual(self.directory.backends['b0'].started_ms, 9)
+
+    def test_lapsed_registration_may_return_after_an_outage(self) -> None:
+        self.directory.store_returned(10)
+        self.assertFalse(self.directory.fold([removed(2, 0)], 10))
+        self.assertIn('b0', self.directory.backends)
+        self.directory.fold([registered(3, 0)], 11)
+        self.assertFalse(self.directory.expire(10 + RETURN_GRACE_S))
+        self.assertIn('b0', self.directory.backends)
+
+    def test_registration_still_missing_is_gone(self) -> None:
+        self.directory.store_returned(10)
+        self.directory.fold([removed(2, 0)], 10)
+        self.assertTrue(self.directory.expire(10 + RETURN_GRACE_S))
+        self.assertNotIn('b0', self.directory.backends)
+
+    def test_drained_server_gets_no_grace(self) -> None:
+        self.directory.fold([registered(2, 0, is_draining=True)], 9)
+        self.directory.store_returned(10)
+        self.assertTrue(self.directory.fold([removed(3, 0)], 10))
+        self.assertNotIn('b0', self.directory.backends)
+
+    def test_listing_replaces_what_expired(self) -> None:
+        self.assertTrue(self.directory.resync([registered(7, 1)], 9, 1))
+        self.assertEqual(set(self.directory.backends), {'b1'})
+        self.assertEqual(self.directory.next_offset, 9)
+
+    def test_older_listing_is_not_taken(self) -> None:
+        self.assertFalse(self.directory.resync([], 1, 1))
+        self.assertEqual(set(self.directory.backends), {'b0', 'b1'})
+
+    def test_only_newer_knowledge_is_adopted(self) -> None:
+        self.assertFalse(self.directory.adopt([], (2, 0), 2))
+        self.assertTrue(self.directory.adopt([backend(5)], (3, 0), 4))
+        self.assertEqual(set(self.directory.backends), {'b5'})
+
+    def test_drain_beats_what_was_given_up_before_it(self) -> None:
+        self.directory.store_returned(10)
+        self.directory.fold([removed(2, 0)], 10)
+        self.directory.expire(10 + RETURN_GRACE_S)
+        version = self.directory.version
+        other = BackendDirectory()
+        other.fold([registered(0, 0), registered(2, 1, is_draining=True)], 0)
+        self.assertGreater(other.version, version)
--- /dev/null
+++ b/packages/turmericpost-core/tests/fleet/test_state.py
@@ -0,0 +1,111 @@
+"""Configuration and evacuations: in offset order, never going back."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.grants.samples import SPEC, backend
+from turmericpost_core.fleet.backends import Registration
+from turmericpost_core.fleet.operator_config import (
+    CallerLimits,
+    OperatorConfig,
+    OperatorRoute,
+    RouteIndex,
+    SplitPart,
+)
+from turmericpost_core.fleet.state import FleetState, OperatorChange
+
+_LIMITS = CallerLimits(16384, 67108864, 3, 15)
+
+
+def route(path: str, host: str = 'a', **weights: float) -> OperatorRoute:
+    parts = weights or {'press': 1}
+    return OperatorRoute(
+        name=path,
+        host=host,
+        path_prefix=path,
+        is_idempotent=True,
+        timeout_s=1,
+        objective_s=0.5,
+        rank=1,
+        split=tuple(SplitPart(*part) for part in parts.items()),
+        max_attempts=2,
+        home_regions=frozenset(),
+    )
+
+
+def config(version: int) -> OperatorConfig:
+    return OperatorConfig(
+        version,
+        (route('/a/'),),
+        {SPEC.name: SPEC},
+        _LIMITS,
+    )
+
+
+class FleetStateTest(unittest.TestCase):
+    def test_older_version_is_not_taken(self) -> None:
+        state = FleetState()
+        state.fold_operator([OperatorChange(0, config(5))], 1)
+        state.fold_operator([OperatorChange(1, config(3))], 2)
+        self.assertEqual(state.config.version, 5)
+
+    def test_evacuated_servers_are_not_usable(self) -> None:
+        state = FleetState()
+        registered = Registration(0, 'b0', backend(0))
+        state.directory.fold([registered], 0)
+        out = OperatorChange(0, evacuated_domain='nasr')
+        state.fold_operator([out], 1)
+        self.assertEqual(state.usable_backends(), ())
+        self.assertEqual(state.slots('press'), {})
+        back = OperatorChange(1, evacuated_domain='nasr', is_set=False)
+        state.fold_operator([back], 2)
+        self.assertEqual(len(state.usable_backends()), 1)
+
+    def test_listing_ends_evacuations_it_does_not_name(self) -> None:
+        state = FleetState()
+        state.fold_operator([OperatorChange(0, evacuated_domain='nasr')], 1)
+        self.assertTrue(state.resync_operator([], 9))
+        self.assertEqual(state.evacuated, frozenset())
+
+    @given(st.permutations(tuple(range(6))))
+    def test_version_never_falls_whatever_comes_first(
+        self,
+        order: list[int],
+    ) -> None:
+        """Snapshots of six VMs, each a record further, in any order."""
+        states = []
+        teller = FleetState()
+        for offset in order:
+            teller = FleetState()
+            changes = [
+                OperatorChange(one, config(one + 1))
+                for one in range(offset + 1)
+            ]
+            teller.fold_operator(changes, offset + 1)
+            states.append(teller.snapshot())
+        learner = FleetState()
+        seen = 0
+        for snapshot in states:
+            learner.adopt(snapshot)
+            self.assertGreaterEqual(learner.config.version, seen)
+            seen = learner.config.version
+        self.assertEqual(seen, 6)
+
+
+class RouteTest(unittest.TestCase):
+    def test_longest_prefix_wins(self) -> None:
+        index = RouteIndex((route('/a/'), route('/a/b/'), route('/', 'z')))
+        self.assertEqual(index.find('a', '/a/b/c').name, '/a/b/')
+        self.assertEqual(index.find('a', '/a/c').name, '/a/')
+        self.assertIsNone(index.find('a', '/b'))
+        self.assertIsNone(index.find('q', '/a/'))
+
+    def test_weights_share_the_calls(self) -> None:
+        split = route('/a/', one=90, two=10)
+        points = [step / 1000 for step in range(1000)]
+        found = [split.service_at(point) for point in points]
+        self.assertEqual(found.count('two'), 100)
--- /dev/null
+++ b/packages/turmericpost-core/tests/grants/samples.py
@@ -0,0 +1,75 @@
+"""Sample servers, asks and brokers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from turmericpost_core.fleet.backends import Backend
+from turmericpost_core.fleet.operator_config import ServiceSpec
+from turmericpost_core.grants.broker import Broker
+from turmericpost_core.grants.limits import RepeatBounds
+from turmericpost_core.grants.permits import Ask, LoadFigures
+
+BOUNDS = RepeatBounds(ratio=0.2, slack=60, window_s=10, slack_share=0.1)
+SPEC = ServiceSpec('press', '/health', 260, 3, 3)
+OBJECTIVE_S = 0.8
+DEADLINE_S = 2.0
+
+
+def backend(number: int, **changes: object) -> Backend:
+    plain = Backend(
+        backend_id=f'b{number}',
+        service='press',
+        host='10.0.0.1',
+        port=8000 + number,
+        failure_domain='nasr',
+        slots=3,
+        is_draining=False,
+        cold_left_s=0,
+        started_ms=1,
+    )
+    return replace(plain, **changes)
+
+
+def ask(number: int, now_s: float, **changes: object) -> Ask:
+    plain = Ask(
+        ask_id=f'vm1.{number}',
+        asker='vm1',
+        service='press',
+        failure_domain='nasr',
+        rank=1,
+        arrived_s=now_s,
+        asked_s=now_s,
+        objective_at_s=now_s + OBJECTIVE_S,
+        deadline_at_s=now_s + DEADLINE_S,
+    )
+    return replace(plain, **changes)
+
+
+def broker(backends: int, now_s: float = 0, name: str = 'vm0.1') -> Broker:
+    made = Broker(name, BOUNDS)
+    made.install_services({SPEC.name: SPEC})
+    made.install_backends([backend(one) for one in range(backends)], now_s)
+    return made
+
+
+def figures(
+    slowness: float = 100,
+    running: int = 0,
+    cold_left_s: float | None = 0,
+) -> LoadFigures:
+    return LoadFigures(running, 0, 3, slowness, cold_left_s)
+
+
+def report(
+    made: Broker,
+    number: int,
+    now_s: float,
+    slowness: float = 100,
+) -> tuple[object, ...]:
+    return made.probed(
+        f'b{number}',
+        figures(slowness),
+        now_s,
+        is_healthy=True,
+    )
--- /dev/null
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -0,0 +1,159 @@
+"""View of a failure domain, digests of the others, turns and addresses."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.fleet.test_state import route
+from turmericpost_core.membership.address_choice import (
+    allowed_regions,
+    choose_vms,
+)
+from turmericpost_core.membership.domain_view import (
+    DIGEST_VALID_S,
+    LOST_AFTER_S,
+    DomainDigest,
+    DomainView,
+    Vm,
+    VmStanding,
+)
+from turmericpost_core.membership.store_turns import (
+    is_reader,
+    new_read_pace,
+    retry_pause_s,
+)
+
+_REGIONS = {'nasr': 'cairo', 'giza': 'cairo', 'smouha': 'alex'}
+
+
+def vm(name: str, domain: str = 'nasr', started_ms: int = 1) -> Vm:
+    return Vm(name, name, 7540, f'{name}:80', domain, 'r', started_ms)
+
+
+def view() -> DomainView:
+    made = DomainView(vm('own'))
+    made.own_standing = VmStanding.READY
+    return made
+
+
+class DomainViewTest(unittest.TestCase):
+    def test_silent_vm_is_lost_and_heard_again(self) -> None:
+        made = view()
+        made.heard(vm('a'), VmStanding.READY, 0)
+        self.assertEqual(made.review(0)[0], {'a'})
+        self.assertEqual(made.review(LOST_AFTER_S + 0.1)[1], {'a'})
+        self.assertEqual(made.ready('nasr', LOST_AFTER_S + 0.1), (made.own,))
+        made.heard(vm('a'), VmStanding.READY, 5)
+        self.assertEqual(made.review(5)[0], {'a'})
+
+    def test_leaving_vm_is_in_no_answer_and_ranks_last(self) -> None:
+        made = view()
+        made.heard(vm('a'), VmStanding.LEAVING, 0)
+        made.heard(vm('b'), VmStanding.READY, 0)
+        names = {one.name for one in made.ready('nasr', 0)}
+        self.assertEqual(names, {'own', 'b'})
+        self.assertEqual(made.ranked('s', 'nasr', 0)[-1].name, 'a')
+
+    def test_message_of_an_earlier_start_is_ignored(self) -> None:
+        made = view()
+        made.heard(vm('a', started_ms=9), VmStanding.READY, 0)
+        made.heard(vm('a', started_ms=1), VmStanding.LEAVING, 0)
+        self.assertEqual(len(made.ready('nasr', 0)), 2)
+
+    def test_told_vm_is_called_but_not_trusted(self) -> None:
+        made = view()
+        made.told([vm('a')], 0)
+        self.assertEqual([one.name for one in made.called('nasr')], ['a'])
+        self.assertEqual(len(made.members(0)), 1)
+
+    def test_old_digest_is_not_believed(self) -> None:
+        made = view()
+        digest = DomainDigest('giza', 0, ((vm('g'), VmStanding.READY),))
+        made.take_digest(digest)
+        self.assertEqual(made.ranked('s', 'giza', 1)[0].name, 'g')
+        late_s = DIGEST_VALID_S + 1
+        self.assertEqual(made.ready('giza', late_s), ())
+        self.assertEqual(made.ranked('s', 'giza', late_s), (made.own,))
+
+
+class StoreTurnsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pace = new_read_pace(2)
+
+    def test_first_in_rank_reads(self) -> None:
+        self.assertTrue(is_reader(('own', 'b'), 'own', {'b': 0}, self.pace))
+
+    def test_next_reads_only_when_the_first_is_stale(self) -> None:
+        ranked = ('a', 'own')
+        self.assertFalse(is_reader(ranked, 'own', {'a': 0.5}, self.pace))
+        self.assertTrue(is_reader(ranked, 'own', {'a': 1.5}, self.pace))
+        self.assertTrue(is_reader(ranked, 'own', {}, self.pace))
+
+    def test_take_over_ends_within_the_drain_bound(self) -> None:
+        heartbeat_s = 0.25
+        worst_s = self.pace.stale_after_s + heartbeat_s + self.pace.period_s
+        self.assertLess(worst_s, 2)
+
+    def test_failed_reads_slow_down(self) -> None:
+        pauses = [retry_pause_s(count, self.pace) for count in range(1, 9)]
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertLessEqual(pauses[-1], 2)
+
+
+class AddressChoiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.view = view()
+        self.view.heard(vm('a'), VmStanding.READY, 0)
+        for domain in ('giza', 'smouha'):
+            ready = ((vm(domain, domain), VmStanding.READY),)
+            self.view.take_digest(DomainDigest(domain, 0, ready))
+
+    def test_callers_go_to_their_own_domain(self) -> None:
+        self.assertEqual(self._names('nasr', {'cairo', 'alex'}), {'own', 'a'})
+        self.assertEqual(self._names('smouha', {'cairo', 'alex'}), {'smouha'})
+
+    def test_home_regions_bind_answers(self) -> None:
+        self.assertEqual(
+            self._names('smouha', {'cairo'}),
+            {'own', 'a', 'giza'},
+        )
+
+    def test_lost_domain_is_served_by_its_region(self) -> None:
+        made = view()
+        found = choose_vms(
+            made,
+            _REGIONS,
+            'giza',
+            frozenset(('cairo',)),
+            0,
+        )
+        self.assertEqual(found, (made.own,))
+
+    def test_routes_of_a_host_bind_together(self) -> None:
+        homes = frozenset(('cairo',))
+        bound = route('/b/')
+        both = (route('/a/'), _at_home(bound, homes))
+        regions = frozenset(_REGIONS.values())
+        self.assertEqual(allowed_regions(both, regions), homes)
+        self.assertEqual(allowed_regions(both[:1], regions), regions)
+
+    def _names(self, domain: str, allowed: set[str]) -> set[str]:
+        found = choose_vms(
+            self.view,
+            _REGIONS,
+            domain,
+            frozenset(allowed),
+            0,
+        )
+        return {one.name for one in found}
+
+
+def _at_home(plain: object, homes: frozenset[str]) -> object:
+    return type(plain)(
+        **{
+            name: getattr(plain, name)
+            for name in plain.__slots__
+            if name != 'home_regions'
+        },
+        home_regions=homes,
+    )
