Meet the store by its published protocol everywhere

Cause: the product's own configuration followed a guessed log protocol with a client and a stand-in of its own; the platform's store speaks another. Change: the stand-in speaks the published log protocol (conditional append, producers, waiting reads, listings with pages, trim, groups, error statuses) and can be down, busy, silent, slow, turn some hosts away, lose answers or apply them late.

--- a/packages/turmericpost-core/src/turmericpost_core/config/records.py
+++ b/packages/turmericpost-core/src/turmericpost_core/config/records.py
@@ -1,4 +1,4 @@
-"""Records of the configuration stream on the log service."""
+"""Records of the configuration stream on the store."""
 
 from __future__ import annotations
 
--- a/packages/turmericpost-entry/src/turmericpost/commands/demo.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/demo.py
@@ -108,7 +108,7 @@
             'failure_domain': domain.name,
             'region': domain.region,
             'store_region': domain.region,
-            'log_service_url': self._platform.log_url,
+            'store_address': self._platform.store_address,
             'vm_list_url': self._platform.vm_list_url,
         }
         return resolve_settings(flags, {}).unwrap()
--- a/packages/turmericpost-entry/src/turmericpost/configlog/__init__.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the log service and the VM list of the platform."""
+"""Clients of the store and the VM list of the platform."""
--- a/packages/turmericpost-entry/src/turmericpost/configlog/clients.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/clients.py
@@ -11,12 +11,13 @@
     ConfigurationListener,
 )
 from turmericpost.configlog.http import PlatformHttp
-from turmericpost.configlog.log_client import LogClient
 from turmericpost.configlog.publisher import Publisher
 from turmericpost.configlog.settings import PlatformSettings
 from turmericpost.configlog.snapshots import SnapshotWriter
 from turmericpost.configlog.vm_list import VmListClient
+from turmericpost.gateway.settings import Address
 from turmericpost.observe.metrics import Metrics
+from turmericpost.platform.store_client import StoreClient
 from turmericpost_core.clock import Clock
 
 
@@ -25,7 +26,7 @@
     """Clients that share one HTTP connection pool."""
 
     http: PlatformHttp
-    log: LogClient
+    log: StoreClient
     vm_list: VmListClient
     follower: ConfigurationFollower
     publisher: Publisher
@@ -41,7 +42,11 @@
 ) -> PlatformClients:
     """Build the clients; nothing is sent yet."""
     http = PlatformHttp(reactor, settings.platform_timeout_s, metrics)
-    log = LogClient(http, settings.log_service_url)
+    log = StoreClient(
+        reactor,
+        store_address(settings.store_address),
+        metrics.count_platform_bytes,
+    )
     stream = settings.configuration_stream
     follower = ConfigurationFollower(
         reactor,
@@ -64,3 +69,9 @@
         publisher=Publisher(log, stream, follower, clock, snapshots),
         snapshots=snapshots,
     )
+
+
+def store_address(text: str) -> Address:
+    """Return host and port of ``HOST:PORT``."""
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -7,14 +7,9 @@
 
 from twisted.internet.task import deferLater
 
-from turmericpost.configlog.log_client import (
-    LogBatch,
-    LogClient,
-    LogError,
-    LogErrorKind,
-    LogRecord,
-)
 from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost.store.record_log import LogBatch, LogRecord, RecordLog
 from turmericpost_core.config.fold import (
     ChangeVerdict,
     Configuration,
@@ -42,7 +37,7 @@
     def __init__(
         self,
         reactor: Any,
-        log: LogClient,
+        log: RecordLog,
         stream: str,
         on_change: ConfigurationListener,
     ) -> None:
@@ -190,8 +185,8 @@
             log_event(LogEvent.LOG_REACHABLE)
         self._is_reachable = True
 
-    def _record_error(self, error: LogError) -> None:
-        if error.kind is LogErrorKind.EXPIRED:
+    def _record_error(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.EXPIRED:
             log_event(
                 LogEvent.LOG_EXPIRED,
                 wanted=self._next_offset,
--- a/packages/turmericpost-entry/src/turmericpost/configlog/http.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/http.py
@@ -100,7 +100,7 @@
             body = await pending
         except (Exception, CancelledError) as lost:
             return _error(PlatformErrorKind.ANSWER_LOST, lost)
-        self._metrics.platform_bytes += len(body) + sent_bytes
+        self._metrics.count_platform_bytes(len(body) + sent_bytes)
         return Ok(PlatformAnswer(response.code, body))
 
 
--- a/packages/turmericpost-entry/src/turmericpost/configlog/publisher.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/publisher.py
@@ -1,4 +1,4 @@
-"""Publishes changes of the configuration to the log service."""
+"""Publishes changes of the configuration to the store."""
 
 from __future__ import annotations
 
@@ -9,12 +9,9 @@
 from result import Err, Ok, Result
 
 from turmericpost.configlog.follower import ConfigurationFollower
-from turmericpost.configlog.log_client import (
-    LogClient,
-    LogError,
-    LogErrorKind,
-)
 from turmericpost.configlog.snapshots import SnapshotWriter
+from turmericpost.store.errors import had_no_effect
+from turmericpost.store.record_log import RecordLog
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_core.config.document import Document
@@ -37,9 +34,9 @@
 
 @dataclass(frozen=True)
 class PublishError:
-    """The log service did not take the change, or did not say so.
+    """The store did not take the change, or did not say so.
 
-    After ``UNSETTLED`` the history shows the change once the log service
+    After ``UNSETTLED`` the history shows the change once the store
     answers again, if the change took effect.
     """
 
@@ -53,7 +50,7 @@
 
     def __init__(
         self,
-        log: LogClient,
+        log: RecordLog,
         stream: str,
         follower: ConfigurationFollower,
         clock: Clock,
@@ -93,7 +90,7 @@
             document=document_to_mapping(document),
         )
         appended = await self._log.append(self._stream, encode_record(record))
-        if _had_no_effect(appended):
+        if had_no_effect(appended):
             detail = appended.unwrap_err().detail
             kind = PublishErrorKind.NOT_ACCEPTED
             return Err(PublishError(kind, change_id, detail))
@@ -114,7 +111,7 @@
             if answered and not is_appended:
                 return Err(_absent(change_id))
         kind = PublishErrorKind.UNSETTLED
-        return Err(PublishError(kind, change_id, 'log service not readable'))
+        return Err(PublishError(kind, change_id, 'store not readable'))
 
 
 def _not_accepted(detail: str) -> PublishError:
@@ -125,11 +122,5 @@
     return PublishError(
         PublishErrorKind.UNSETTLED,
         change_id,
-        'the log service lost its answer and does not show the change',
+        'the store lost its answer and does not show the change',
     )
-
-
-def _had_no_effect(appended: Result[int, LogError]) -> bool:
-    if appended.is_ok():
-        return False
-    return appended.unwrap_err().kind is not LogErrorKind.ANSWER_LOST
--- a/packages/turmericpost-entry/src/turmericpost/configlog/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the platform's log service and VM list."""
+"""Settings of the platform's store and VM list."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 class PlatformSettings:
     """Where the platform's services are."""
 
-    log_service_url: str = setting('URL of the log service')
+    store_address: str = setting('HOST:PORT of the platform store')
     vm_list_url: str = setting('URL of the VM list service')
     store_region: str = setting(
-        'region the log service stands in; none claims no keys of calls '
+        'region the store stands in; none claims no keys of calls '
         'that are bound to home regions',
         default='none',
     )
@@ -24,7 +24,7 @@
     )
     snapshot_interval_s: float = setting(
         'time between snapshots of the configuration on the log; less than '
-        'half of the time for which the log keeps records',
+        'half of the time for which the store keeps records',
         default=600,
         bounds=Bounds(1, 86400),
     )
--- a/packages/turmericpost-entry/src/turmericpost/configlog/snapshots.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/snapshots.py
@@ -1,12 +1,12 @@
-"""Writes snapshots of the configuration to the log service."""
+"""Writes snapshots of the configuration to the store."""
 
 from __future__ import annotations
 
 from datetime import timedelta
 
 from turmericpost.configlog.follower import ConfigurationFollower
-from turmericpost.configlog.log_client import LogClient
 from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.store.record_log import RecordLog
 from turmericpost_core.clock import Clock
 from turmericpost_core.config.records import encode_record
 from turmericpost_core.config.snapshots import (
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        log: LogClient,
+        log: RecordLog,
         stream: str,
         follower: ConfigurationFollower,
         clock: Clock,
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -3,37 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from result import Result
 
+from turmericpost.store.errors import StoreError
 from turmericpost_core.fleet.backends import Registration
 from turmericpost_core.fleet.state import OperatorChange
 from turmericpost_core.membership.domain_view import Vm
 
 
-class StoreErrorKind(Enum):
-    """Why a call to the store did not succeed."""
-
-    NOT_SENT = 'not-sent'
-    NO_ANSWER = 'no-answer'
-    TURNED_AWAY = 'turned-away'
-    EXPIRED = 'expired'
-    CONFLICT = 'conflict'
-    FORBIDDEN = 'forbidden'
-    FULL = 'full'
-    UNREADABLE = 'unreadable'
-
-
-@dataclass(frozen=True)
-class StoreError:
-    """A failed call; never to be taken for an empty answer."""
-
-    kind: StoreErrorKind
-    detail: str = ''
-
-
 @dataclass(frozen=True, slots=True)
 class InvalidRecord:
     """A record that can't be used, and why."""
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -15,10 +15,9 @@
     InvalidRecord,
     OperatorRecords,
     Registrations,
-    StoreError,
-    StoreErrorKind,
 )
 from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.membership.store_turns import ReadPace, retry_pause_s
--- a/packages/turmericpost-entry/src/turmericpost/forward/assembly.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/assembly.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from turmericpost.configlog.log_client import LogClient
 from turmericpost.forward.attempt import AttemptTools
 from turmericpost.forward.claims import KeyClaims
 from turmericpost.forward.forwarder import Forwarder
@@ -14,6 +13,7 @@
 from turmericpost.forward.settings import ForwardSettings
 from turmericpost.forward.well_known import AddressAnswers
 from turmericpost.observe.metrics import Metrics
+from turmericpost.store.record_log import RecordLog
 from turmericpost_core.routing.balancer import Balancer
 
 
@@ -25,7 +25,7 @@
     metrics: Metrics
     answers: AddressAnswers
     key_place: KeyPlace
-    log: LogClient
+    log: RecordLog
 
 
 def new_forwarder(
--- a/packages/turmericpost-entry/src/turmericpost/forward/claims.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/claims.py
@@ -1,4 +1,4 @@
-"""Claims on the log service for keys that callers made themselves."""
+"""Claims on the store for keys that callers made themselves."""
 
 from __future__ import annotations
 
@@ -7,11 +7,8 @@
 
 from result import Err, Ok, Result
 
-from turmericpost.configlog.log_client import (
-    LogClient,
-    LogError,
-    LogErrorKind,
-)
+from turmericpost.store.errors import StoreErrorKind, had_no_effect
+from turmericpost.store.record_log import RecordLog
 from turmericpost_core.clock import Clock
 from turmericpost_core.membership.facts import VmFact
 from turmericpost_core.operations.claims import (
@@ -36,7 +33,7 @@
 class KeyClaims:
     """Claims keys; the lowest offset of a key's stream wins."""
 
-    def __init__(self, log: LogClient, clock: Clock) -> None:
+    def __init__(self, log: RecordLog, clock: Clock) -> None:
         self._log = log
         self._clock = clock
 
@@ -56,7 +53,7 @@
         appended = await self._log.append(stream, encode_claim(claim))
         if appended.is_ok() and appended.unwrap() == 0:
             return Ok(_claimed(claim, is_new=True))
-        if _had_no_effect(appended):
+        if had_no_effect(appended):
             return Err(RefusalReason.KEY_CLAIM_UNAVAILABLE)
         return await self._first_claim(stream, claim)
 
@@ -67,7 +64,7 @@
     ) -> Result[ClaimedKey, RefusalReason]:
         batch = await self._log.read(stream, 0, 0)
         if batch.is_err():
-            if batch.unwrap_err().kind is LogErrorKind.EXPIRED:
+            if batch.unwrap_err().kind is StoreErrorKind.EXPIRED:
                 return Err(RefusalReason.KEY_TOO_OLD)
             return Err(RefusalReason.KEY_CLAIM_UNAVAILABLE)
         records = batch.unwrap().records
@@ -84,9 +81,3 @@
 def _claimed(claim: OperationClaim, *, is_new: bool) -> ClaimedKey:
     owner = KeyOwner(claim.vm_digest, claim.incarnation, claim.claimed_s)
     return ClaimedKey(owner, is_new)
-
-
-def _had_no_effect(appended: Result[int, LogError]) -> bool:
-    if appended.is_ok():
-        return False
-    return appended.unwrap_err().kind is not LogErrorKind.ANSWER_LOST
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -38,8 +38,8 @@
     REVISION_IN_FORCE = (2001, Level.INFO, 'a revision is in force')
     CHANGE_REFUSED = (2002, Level.WARNING, 'a published change was refused')
     RECORD_MALFORMED = (2003, Level.ERROR, 'a stream record is not readable')
-    LOG_UNREACHABLE = (2004, Level.WARNING, 'the log service does not answer')
-    LOG_REACHABLE = (2005, Level.INFO, 'the log service answers again')
+    LOG_UNREACHABLE = (2004, Level.WARNING, 'the store does not answer')
+    LOG_REACHABLE = (2005, Level.INFO, 'the store answers again')
     LOG_EXPIRED = (2006, Level.WARNING, 'records expired before being read')
     LIST_UNREACHABLE = (2007, Level.WARNING, 'the VM list does not answer')
     DOMAINS_OUT = (2008, Level.INFO, 'failure domains out of service changed')
@@ -48,7 +48,7 @@
     LOG_WENT_BACK = (
         2011,
         Level.WARNING,
-        'the log service has lost records that were in force',
+        'the store has lost records that were in force',
     )
     VIEW_CHANGED = (3001, Level.INFO, 'the membership view changed')
     PEER_MESSAGE_MALFORMED = (
--- a/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/metrics.py
@@ -28,6 +28,10 @@
         self.call_latency_us = new_histogram()
         self.backend_latency_us = new_histogram()
 
+    def count_platform_bytes(self, count: int) -> None:
+        """Count bytes to and from the platform."""
+        self.platform_bytes += count
+
     def record_call(self, latency_s: float) -> None:
         """Count a call that got its whole answer."""
         self.calls_answered += 1
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -13,8 +13,6 @@
     InvalidRecord,
     OperatorRecords,
     Registrations,
-    StoreError,
-    StoreErrorKind,
 )
 from turmericpost.gateway.settings import Address
 from turmericpost.http1.lane import Lane, LaneAnswer, LaneError, LaneRequest
@@ -28,11 +26,17 @@
     KeyedRead,
     KeyedRecord,
     Listing,
+    decode_append,
+    decode_detail,
     decode_first,
     decode_listing,
     decode_read,
     encode_keyed,
+    encode_record,
+    keyed_read,
 )
+from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost.store.record_log import LogBatch
 from turmericpost_core.membership.domain_view import Vm
 
 _OPERATOR_TOPIC = 'keyed.op'
@@ -69,18 +73,30 @@
 _Decoded = TypeVar('_Decoded')
 
 
+def _ignore(_count: int) -> None:
+    """Count nothing."""
+
+
 class StoreClient:
-    """Calls of the store; one connection for waits, one for the rest."""
+    """Calls of the store; each waits on a kept connection of its own."""
 
-    def __init__(self, reactor: Any, address: Address) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: Address,
+        count_bytes: Callable[[int], None] = _ignore,
+    ) -> None:
         self.calls = 0
-        self._lane = Lane(reactor, *address, CONNECT_TIMEOUT_S)
-        self._watch_lane = Lane(reactor, *address, CONNECT_TIMEOUT_S)
-        self._write_lane = Lane(reactor, *address, CONNECT_TIMEOUT_S)
+        self._reactor = reactor
+        self._address = address
+        self._count_bytes = count_bytes
+        self._lanes: list[Lane] = []
+        self._busy: set[Lane] = set()
+        self._watching: Lane | None = None
 
     async def list_backends(self) -> Result[Registrations, StoreError]:
         """Return the newest registration of every backend server."""
-        listed = await self._list(self._lane, _BACKENDS_TOPIC)
+        listed = await self._list(_BACKENDS_TOPIC)
         return listed.map(_registrations)
 
     async def read_backends(
@@ -88,12 +104,12 @@
         from_offset: int,
     ) -> Result[Registrations, StoreError]:
         """Return the registrations from an offset on, at once."""
-        read = await self._read(self._lane, _BACKENDS_TOPIC, from_offset)
+        read = await self._read_keyed(_BACKENDS_TOPIC, from_offset)
         return read.map(_registrations)
 
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
         """Return the configuration and the evacuations in force."""
-        listed = await self._list(self._watch_lane, _OPERATOR_TOPIC)
+        listed = await self._list(_OPERATOR_TOPIC)
         return listed.map(_operator_records)
 
     async def watch_operator(
@@ -101,41 +117,61 @@
         from_offset: int,
     ) -> Result[OperatorRecords, StoreError]:
         """Wait for records of the operator from an offset on."""
-        read = await self._read(
-            self._watch_lane,
-            _OPERATOR_TOPIC,
-            from_offset,
-            WATCH_S,
-        )
-        return read.map(_operator_records)
+        lane = self._idle_lane()
+        self._watching = lane
+        query = _read_query(_OPERATOR_TOPIC, from_offset, WATCH_S)
+        timeout_s = WATCH_S + _WATCH_SLACK_S
+        called = await self._call(query, timeout_s, lane)
+        self._watching = None
+        decoded = called.and_then(lambda body: decode_read(from_offset, body))
+        return decoded.map(keyed_read).map(_operator_records)
 
     def stop_watching(self) -> None:
         """End the wait for records of the operator."""
-        self._watch_lane.give_up()
+        if self._watching is not None:
+            self._watching.give_up()
 
     async def announce(self, vm: Vm) -> Result[None, StoreError]:
         """Write where this VM is to be found."""
         query = _query('log-append', Topic=_VMS_TOPIC, part=0)
         body = encode_keyed(vm.name, encode_vm(vm))
         request = LaneRequest('POST', query, body)
-        sent = await self._call(self._write_lane, request, CALL_TIMEOUT_S)
+        sent = await self._call(request, CALL_TIMEOUT_S)
         return Err(sent.unwrap_err()) if sent.is_err() else Ok(None)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], StoreError]:
         """Return every VM that announced itself."""
-        listed = await self._list(self._write_lane, _VMS_TOPIC)
+        listed = await self._list(_VMS_TOPIC)
         return listed.map(_vms)
 
     def close(self) -> None:
         """Close every connection."""
-        for lane in (self._lane, self._watch_lane, self._write_lane):
+        for lane in (*self._lanes, *self._busy):
             lane.close()
 
-    async def _list(
+    async def append(
         self,
-        lane: Lane,
-        topic: str,
-    ) -> Result[KeyedRead, StoreError]:
+        stream: str,
+        record: bytes,
+    ) -> Result[int, StoreError]:
+        """Append a plain record and return its offset."""
+        query = _query('log-append', Topic=stream, part=0)
+        request = LaneRequest('POST', query, encode_record(record))
+        sent = await self._call(request, CALL_TIMEOUT_S)
+        return sent.and_then(decode_append)
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        wait_s: float,
+    ) -> Result[LogBatch, StoreError]:
+        """Read plain records from an offset on, waiting for the first one."""
+        request = _read_query(stream, from_offset, wait_s)
+        called = await self._call(request, CALL_TIMEOUT_S + wait_s)
+        return called.and_then(lambda body: decode_read(from_offset, body))
+
+    async def _list(self, topic: str) -> Result[KeyedRead, StoreError]:
         """Return all pages of a listing.
 
         Pages are not a snapshot: reading goes on from the end of the first.
@@ -144,7 +180,7 @@
         end: int | None = None
         after: str | None = None
         while True:
-            page = await self._page(lane, topic, after)
+            page = await self._page(topic, after)
             if page.is_err():
                 return Err(page.unwrap_err())
             listing = page.unwrap()
@@ -156,7 +192,6 @@
 
     async def _page(
         self,
-        lane: Lane,
         topic: str,
         after: str | None,
     ) -> Result[Listing, StoreError]:
@@ -164,42 +199,48 @@
         if after is not None:
             query['after'] = after
         request = LaneRequest('GET', _query('log-newest', **query))
-        called = await self._call(lane, request, LIST_TIMEOUT_S)
+        called = await self._call(request, LIST_TIMEOUT_S)
         return called.and_then(decode_listing)
 
-    async def _read(
+    async def _read_keyed(
         self,
-        lane: Lane,
         topic: str,
         from_offset: int,
-        wait_s: float = 0,
     ) -> Result[KeyedRead, StoreError]:
-        query = {'Topic': topic, 'part': 0, 'From': from_offset}
-        timeout_s = CALL_TIMEOUT_S
-        if wait_s:
-            query['WaitMs'] = int(wait_s * _MS_PER_S)
-            timeout_s = wait_s + _WATCH_SLACK_S
-        request = LaneRequest('GET', _query('log-read', **query))
-        called = await self._call(lane, request, timeout_s)
-        return called.and_then(lambda body: decode_read(from_offset, body))
+        request = _read_query(topic, from_offset)
+        called = await self._call(request, CALL_TIMEOUT_S)
+        decoded = called.and_then(lambda body: decode_read(from_offset, body))
+        return decoded.map(keyed_read)
 
     async def _call(
         self,
-        lane: Lane,
         request: LaneRequest,
         timeout_s: float,
+        lane: Lane | None = None,
     ) -> Result[bytes, StoreError]:
         self.calls += 1
-        answered = await lane.send(request, timeout_s)
-        return answered.map_err(_lane_error).and_then(_body)
-
-
-def _body(answer: LaneAnswer) -> Result[bytes, StoreError]:
-    if answer.status == _OK:
-        return Ok(answer.body)
-    kind = _ERRORS.get(answer.status, StoreErrorKind.UNREADABLE)
-    detail = f'{answer.status} {decode_first(answer.body)}'
-    return Err(StoreError(kind, detail))
+        used = self._idle_lane() if lane is None else lane
+        answered = await used.send(request, timeout_s)
+        self._busy.discard(used)
+        self._lanes.append(used)
+        self._count_bytes(len(request.target) + len(request.body))
+        return answered.map_err(_lane_error).and_then(self._body)
+
+    def _body(self, answer: LaneAnswer) -> Result[bytes, StoreError]:
+        self._count_bytes(len(answer.body))
+        if answer.status == _OK:
+            return Ok(answer.body)
+        kind = _ERRORS.get(answer.status, StoreErrorKind.UNREADABLE)
+        detail = f'{answer.status} {decode_detail(answer.body)}'
+        return Err(StoreError(kind, detail, decode_first(answer.body)))
+
+    def _idle_lane(self) -> Lane:
+        if self._lanes:
+            lane = self._lanes.pop()
+        else:
+            lane = Lane(self._reactor, *self._address, CONNECT_TIMEOUT_S)
+        self._busy.add(lane)
+        return lane
 
 
 def _lane_error(error: LaneError) -> StoreError:
@@ -234,5 +275,16 @@
     return valid, invalid
 
 
+def _read_query(
+    topic: str,
+    from_offset: int,
+    wait_s: float = 0,
+) -> LaneRequest:
+    query = {'Topic': topic, 'part': 0, 'From': from_offset}
+    if wait_s:
+        query['WaitMs'] = int(wait_s * _MS_PER_S)
+    return LaneRequest('GET', _query('log-read', **query))
+
+
 def _query(call: str, **fields: object) -> bytes:
     return f'/-/{call}?{urlencode(fields)}'.encode('ascii')
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_wire.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_wire.py
@@ -4,13 +4,13 @@
 
 import json
 from base64 import b64decode
-from collections.abc import Iterable
 from dataclasses import dataclass
 from struct import Struct
 
 from result import Err, Ok, Result
 
-from turmericpost.fleet.store import StoreError, StoreErrorKind
+from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost.store.record_log import LogBatch, LogRecord
 
 _LENGTH = Struct('>I')
 _ENDS = Struct('>QQ')
@@ -42,24 +42,25 @@
     next_offset: int
 
 
+def encode_record(record: bytes) -> bytes:
+    """Return the bytes of one record in a call that appends."""
+    return _LENGTH.pack(len(record)) + record
+
+
 def encode_keyed(key: str, text: bytes) -> bytes:
     """Return the bytes of one record of a keyed topic."""
     name = key.encode('utf-8')
-    record = bytes((len(name),)) + name + text
-    return _LENGTH.pack(len(record)) + record
+    return encode_record(bytes((len(name),)) + name + text)
 
 
 def decode_read(
     from_offset: int,
     body: bytes,
-) -> Result[KeyedRead, StoreError]:
-    """Decode the answer to a read of a keyed topic.
-
-    A record cut short ends the page: the next read begins with it.
-    """
+) -> Result[LogBatch, StoreError]:
+    """Decode the answer to a read: the two ends, then the records."""
     if len(body) < _ENDS.size:
         return Err(_unreadable('no offsets in a read'))
-    records: list[KeyedRecord] = []
+    records: list[LogRecord] = []
     place = _ENDS.size
     offset = from_offset
     while place + _LENGTH.size <= len(body):
@@ -67,10 +68,27 @@
         place += _LENGTH.size
         if place + length > len(body):
             return Err(_unreadable('a record is cut short'))
-        records.append(_keyed(offset, body[place : place + length]))
+        records.append(LogRecord(offset, body[place : place + length]))
         place += length
         offset += 1
-    return Ok(KeyedRead(tuple(records), offset))
+    end = _ENDS.unpack_from(body)[0]
+    return Ok(LogBatch(tuple(records), end))
+
+
+def keyed_read(batch: LogBatch) -> KeyedRead:
+    """Return the keyed records of a read, and the offset to go on from."""
+    records = tuple(_keyed(one.offset, one.record) for one in batch.records)
+    if not records:
+        return KeyedRead(records, batch.end_offset)
+    return KeyedRead(records, records[-1].offset + 1)
+
+
+def decode_append(body: bytes) -> Result[int, StoreError]:
+    """Decode the offset that an append got."""
+    offset = _member(body, 'Offset')
+    if offset is None:
+        return Err(_unreadable('no offset of an append'))
+    return Ok(offset)
 
 
 def decode_listing(body: bytes) -> Result[Listing, StoreError]:
@@ -81,14 +99,14 @@
         return Err(_unreadable(f'listing: {error!r}'))
 
 
-def decode_first(body: bytes) -> str:
-    """Return the first offset that an expired read may begin with."""
-    return body.decode('utf-8', 'replace')
+def decode_first(body: bytes) -> int:
+    """Return the first offset that is kept, 0 where none is named."""
+    return _member(body, 'First') or 0
 
 
-def newest_only(records: Iterable[KeyedRecord]) -> tuple[KeyedRecord, ...]:
-    """Return the last record of each key."""
-    return tuple({one.key: one for one in records}.values())
+def decode_detail(body: bytes) -> str:
+    """Return the text of an error answer."""
+    return body.decode('utf-8', 'replace')
 
 
 def _keyed(offset: int, record: bytes) -> KeyedRecord:
@@ -111,3 +129,11 @@
 
 def _unreadable(detail: str) -> StoreError:
     return StoreError(StoreErrorKind.UNREADABLE, detail)
+
+
+def _member(body: bytes, name: str) -> int | None:
+    """Return a whole number of a JSON object, ``None`` if it has none."""
+    try:
+        return int(json.loads(body)[name])
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's store: errors and plain record logs."""
--- a/packages/turmericpost-entry/tests/configlog/test_histories.py
+++ b/packages/turmericpost-entry/tests/configlog/test_histories.py
@@ -15,14 +15,10 @@
 from result import Err, Ok, Result
 
 from turmericpost.configlog.follower import ConfigurationFollower
-from turmericpost.configlog.log_client import (
-    LogBatch,
-    LogError,
-    LogErrorKind,
-    LogRecord,
-)
 from turmericpost.configlog.publisher import Publisher
 from turmericpost.configlog.snapshots import SnapshotWriter
+from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost.store.record_log import LogBatch, LogRecord
 from turmericpost_core.config.document import (
     BackendServer,
     Document,
@@ -68,13 +64,15 @@
         self.is_down = False
         self.loses_answer = False
 
-    async def append(self, stream: str, record: bytes) -> Result[int, LogError]:
+    async def append(
+        self, stream: str, record: bytes
+    ) -> Result[int, StoreError]:
         if self.is_down:
-            return Err(LogError(LogErrorKind.UNREACHABLE, 'down'))
+            return Err(StoreError(StoreErrorKind.NOT_SENT, 'down'))
         self.records.append(record)
         if self.loses_answer:
             self.loses_answer = False
-            return Err(LogError(LogErrorKind.ANSWER_LOST, 'lost'))
+            return Err(StoreError(StoreErrorKind.NO_ANSWER, 'lost'))
         return Ok(self.earliest + len(self.records) - 1)
 
     async def read(
@@ -82,12 +80,12 @@
         stream: str,
         from_offset: int,
         wait_s: float,
-    ) -> Result[LogBatch, LogError]:
+    ) -> Result[LogBatch, StoreError]:
         if self.is_down:
-            return Err(LogError(LogErrorKind.UNREACHABLE, 'down'))
+            return Err(StoreError(StoreErrorKind.NOT_SENT, 'down'))
         if from_offset < self.earliest:
-            kind = LogErrorKind.EXPIRED
-            return Err(LogError(kind, 'expired', self.earliest))
+            kind = StoreErrorKind.EXPIRED
+            return Err(StoreError(kind, 'expired', self.earliest))
         end = self.earliest + len(self.records)
         found = tuple(
             LogRecord(offset, self.records[offset - self.earliest])
--- a/packages/turmericpost-entry/tests/forward/test_keyed_calls.py
+++ b/packages/turmericpost-entry/tests/forward/test_keyed_calls.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from tests.harness import Backend, Caller, Harness, vm_fact
-from turmericpost.configlog.log_client import LogErrorKind
 from turmericpost.forward.settings import ForwardSettings
+from turmericpost.store.errors import StoreErrorKind
 from turmericpost_core.operations.keys import KEY_LIFETIME_S, key_prefix
 from turmericpost_core.outcome.reasons import RefusalReason
 
@@ -200,7 +200,7 @@
         self.assertIn(b'turmericpost-relayed', rival.backend().received())
 
     def test_no_claim_means_not_run(self) -> None:
-        for kind in (LogErrorKind.UNREACHABLE, LogErrorKind.OVERLOADED):
+        for kind in (StoreErrorKind.NOT_SENT, StoreErrorKind.TURNED_AWAY):
             with self.subTest(kind=kind):
                 harness = Harness()
                 harness.log.append_error = kind
@@ -220,7 +220,7 @@
 
     def test_an_unsettled_claim_can_be_run_later_by_its_owner(self) -> None:
         self.harness.log.is_lost = True
-        self.harness.log.read_error = LogErrorKind.UNREACHABLE
+        self.harness.log.read_error = StoreErrorKind.NOT_SENT
         caller = self._call('made-by-caller')
         self.assertEqual(_told(caller.received())[1], 'not-run')
         self.harness.log.is_lost = False
@@ -231,7 +231,7 @@
 
     def test_expired_claims_are_too_old(self) -> None:
         self.harness.log.is_lost = True
-        self.harness.log.read_error = LogErrorKind.EXPIRED
+        self.harness.log.read_error = StoreErrorKind.EXPIRED
         caller = self._call('made-by-caller')
         self.assertEqual(
             _told(caller.received()), (503, 'unknown', 'key-too-old')
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -12,12 +12,6 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from turmericpost.configlog.log_client import (
-    LogBatch,
-    LogError,
-    LogErrorKind,
-    LogRecord,
-)
 from turmericpost.forward.attempt import AttemptTools
 from turmericpost.forward.claims import KeyClaims
 from turmericpost.forward.forwarder import Forwarder
@@ -29,6 +23,8 @@
 from turmericpost.http1.server import CallerPort
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.observe.metrics import Metrics
+from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost.store.record_log import LogBatch, LogRecord
 from turmericpost_core.config.document import (
     BackendServer,
     ClientAccount,
@@ -169,18 +165,20 @@
 
     def __init__(self) -> None:
         self.streams: dict[str, list[LogRecord]] = {}
-        self.append_error: LogErrorKind | None = None
-        self.read_error: LogErrorKind | None = None
+        self.append_error: StoreErrorKind | None = None
+        self.read_error: StoreErrorKind | None = None
         self.is_lost = False
 
-    async def append(self, stream: str, record: bytes) -> Result[int, LogError]:
+    async def append(
+        self, stream: str, record: bytes
+    ) -> Result[int, StoreError]:
         """Append at once."""
         if self.append_error is not None:
-            return Err(LogError(self.append_error, 'test'))
+            return Err(StoreError(self.append_error, 'test'))
         records = self.streams.setdefault(stream, [])
         records.append(LogRecord(len(records), record))
         if self.is_lost:
-            return Err(LogError(LogErrorKind.ANSWER_LOST, 'test'))
+            return Err(StoreError(StoreErrorKind.NO_ANSWER, 'test'))
         return Ok(len(records) - 1)
 
     async def read(
@@ -188,10 +186,10 @@
         stream: str,
         from_offset: int,
         wait_s: float,
-    ) -> Result[LogBatch, LogError]:
+    ) -> Result[LogBatch, StoreError]:
         """Read at once."""
         if self.read_error is not None:
-            return Err(LogError(self.read_error, 'test'))
+            return Err(StoreError(self.read_error, 'test'))
         records = self.streams.get(stream, [])
         return Ok(LogBatch(tuple(records[from_offset:]), len(records)))
 
--- /dev/null
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -0,0 +1,266 @@
+"""Client of the store against its stand-in, over sockets."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from result import Result
+from twisted.internet.defer import Deferred
+from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+from twisted.web.server import Site
+
+from turmericpost.fleet.store import Registrations
+from turmericpost.platform.store_client import StoreClient
+from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost_core.membership.domain_view import Vm
+from turmericpost_standins.store.partition import Sequence
+from turmericpost_standins.store.service import StoreService, StoreSizes
+
+_ENTRY = {
+    'Service': 'press',
+    'Address': '10.0.0.9:8080',
+    'Zone': 'nasr',
+    'Version': 'v1',
+    'Slots': 3,
+    'State': 'ready',
+    'WarmupLeftMs': 0,
+    'Seq': 1,
+    'born': 12,
+}
+_VM = Vm('vm1', '10.0.0.1', 7540, '10.0.0.1:80', 'nasr', 'cairo', 5)
+
+
+class StoreRun:
+    """A stand-in and a client on a reactor of their own."""
+
+    def __init__(self, sizes: StoreSizes | None = None) -> None:
+        self.reactor = EPollReactor()
+        self.service = StoreService(self.reactor, sizes)
+        site = Site(self.service, reactor=self.reactor)
+        site.noisy = False
+        port = self.reactor.listenTCP(0, site, interface='127.0.0.1')
+        address = ('127.0.0.1', port.getHost().port)
+        self.client = StoreClient(self.reactor, address)
+
+    def register(self, number: int, **changes: object) -> None:
+        entry = json.dumps({**_ENTRY, **changes}).encode()
+        self.service.put('keyed.servers', f'b{number}', entry)
+
+    def run(self, steps: Callable[[], Awaitable[Any]]) -> Any:
+        """Run a coroutine to its end and return what it returns."""
+        ended: list[Any] = []
+
+        def end(outcome: Any) -> None:
+            ended.append(outcome)
+            self.reactor.stop()
+
+        def begin() -> None:
+            Deferred.fromCoroutine(steps()).addBoth(end)
+
+        self.reactor.callWhenRunning(begin)
+        self.reactor.run(installSignalHandlers=False)
+        if isinstance(ended[0], Failure):
+            ended[0].raiseException()
+        return ended[0]
+
+    async def pause(self, pause_s: float) -> None:
+        await deferLater(self.reactor, pause_s)
+
+
+class StoreClientTest(unittest.TestCase):
+    def _fails_with(
+        self,
+        outcome: Result[object, StoreError],
+        kind: StoreErrorKind,
+    ) -> None:
+        self.assertTrue(outcome.is_err(), outcome)
+        self.assertIs(outcome.unwrap_err().kind, kind)
+
+    def test_registrations_are_listed_and_read_on(self) -> None:
+        store = StoreRun()
+        store.register(1)
+        store.register(2, State='draining', WarmupLeftMs=1500)
+
+        async def steps() -> tuple[Registrations, Registrations]:
+            listed = (await store.client.list_backends()).unwrap()
+            store.service.put('keyed.servers', 'b1', b'')
+            read = await store.client.read_backends(listed.next_offset)
+            return listed, read.unwrap()
+
+        listed, read = store.run(steps)
+        backends = {one.backend_id: one.backend for one in listed.records}
+        self.assertEqual(backends['b1'].host, '10.0.0.9')
+        self.assertTrue(backends['b2'].is_draining)
+        self.assertEqual(backends['b2'].cold_left_s, 1.5)
+        self.assertEqual(backends['b2'].started_ms, 12)
+        self.assertEqual(read.records[0].backend, None)
+        self.assertEqual(read.next_offset, 3)
+
+    def test_listing_goes_over_pages(self) -> None:
+        store = StoreRun(StoreSizes(page_rows=2))
+        for number in range(5):
+            store.register(number)
+        listed = store.run(store.client.list_backends).unwrap()
+        self.assertEqual(len(listed.records), 5)
+        self.assertEqual(listed.next_offset, 5)
+
+    def test_foreign_records_name_no_server(self) -> None:
+        store = StoreRun()
+        store.register(0)
+        store.register(1, Slots='three')
+        store.register(2, State='asleep')
+        store.register(3, Address='nowhere')
+        store.service.put('keyed.servers', 'b4', b'\xff{')
+        store.service.put('keyed.servers', 'b5', b'[]')
+        store.register(6, born=True)
+        listed = store.run(store.client.list_backends).unwrap()
+        self.assertEqual(len(listed.records), 1)
+        self.assertEqual(
+            {one.key for one in listed.invalid},
+            {f'b{number}' for number in range(1, 7)},
+        )
+        self.assertTrue(all(one.detail for one in listed.invalid))
+
+    def test_wait_ends_with_the_first_record(self) -> None:
+        store = StoreRun()
+
+        async def steps() -> Any:
+            store.reactor.callLater(
+                0.05,
+                store.service.put,
+                'keyed.op',
+                'evacuate/nasr',
+                b'{}',
+            )
+            return await store.client.watch_operator(0)
+
+        read = store.run(steps).unwrap()
+        self.assertEqual(read.records[0].evacuated_domain, 'nasr')
+        self.assertTrue(read.records[0].is_set)
+
+    def test_watch_can_be_stopped(self) -> None:
+        store = StoreRun()
+
+        async def steps() -> Any:
+            store.reactor.callLater(0.05, store.client.stop_watching)
+            return await store.client.watch_operator(0)
+
+        self._fails_with(store.run(steps), StoreErrorKind.NO_ANSWER)
+
+    def test_expired_records_are_an_error_of_their_own(self) -> None:
+        store = StoreRun()
+        store.register(1)
+        store.service.forget('keyed.servers')
+        read = store.run(lambda: store.client.read_backends(0))
+        self._fails_with(read, StoreErrorKind.EXPIRED)
+        self.assertEqual(read.unwrap_err().earliest_offset, 1)
+
+    def test_store_that_is_away_is_never_an_empty_answer(self) -> None:
+        for fault, kind in (
+            ('is_down', StoreErrorKind.NO_ANSWER),
+            ('is_busy', StoreErrorKind.TURNED_AWAY),
+            ('is_silent', StoreErrorKind.NO_ANSWER),
+        ):
+            with self.subTest(fault):
+                store = StoreRun()
+                setattr(store.service.faults, fault, True)
+                listed = store.run(store.client.list_vms)
+                self._fails_with(listed, kind)
+
+    def test_some_callers_are_turned_away(self) -> None:
+        store = StoreRun()
+        store.service.faults.refused_hosts = frozenset(('127.0.0.1',))
+        listed = store.run(store.client.list_backends)
+        self._fails_with(listed, StoreErrorKind.TURNED_AWAY)
+
+    def test_too_many_calls_are_refused(self) -> None:
+        store = StoreRun(StoreSizes(reads_per_s=1))
+
+        async def steps() -> Any:
+            await store.client.read_backends(0)
+            return await store.client.read_backends(0)
+
+        self._fails_with(store.run(steps), StoreErrorKind.TURNED_AWAY)
+
+    def test_full_store_takes_nothing(self) -> None:
+        store = StoreRun(StoreSizes(total_bytes=10))
+        done = store.run(lambda: store.client.append('own', b'x' * 11))
+        self._fails_with(done, StoreErrorKind.FULL)
+
+    def test_lost_answer_may_have_taken_effect_later(self) -> None:
+        store = StoreRun()
+        store.service.faults.lose_next_answers = 1
+        store.service.faults.late_s = 0.05
+
+        async def steps() -> Any:
+            lost = await store.client.append('own', b'record')
+            at_once = store.service.partition('own').end
+            await store.pause(0.2)
+            return lost, at_once, store.service.partition('own').end
+
+        lost, at_once, later = store.run(steps)
+        self._fails_with(lost, StoreErrorKind.NO_ANSWER)
+        self.assertEqual((at_once, later), (0, 1))
+
+    def test_operators_topics_can_not_be_written(self) -> None:
+        store = StoreRun()
+        done = store.run(lambda: store.client.append('keyed.op', b'\x01a1'))
+        self._fails_with(done, StoreErrorKind.FORBIDDEN)
+
+    def test_vms_announce_themselves(self) -> None:
+        store = StoreRun()
+
+        async def steps() -> Any:
+            await store.client.announce(_VM)
+            return await store.client.list_vms()
+
+        self.assertEqual(store.run(steps).unwrap(), (_VM,))
+
+    def test_plain_records_come_back_with_offsets(self) -> None:
+        store = StoreRun()
+
+        async def steps() -> Any:
+            await store.client.append('own', b'one')
+            second = await store.client.append('own', b'two')
+            return second, await store.client.read('own', 1, 0)
+
+        second, read = store.run(steps)
+        self.assertEqual(second.unwrap(), 1)
+        self.assertEqual(read.unwrap().records[0].record, b'two')
+        self.assertEqual(read.unwrap().end_offset, 2)
+
+
+class SequenceTest(unittest.TestCase):
+    """The stand-in's rules for producers are those of the pages."""
+
+    def setUp(self) -> None:
+        self.partition = StoreService(EPollReactor()).partition('own')
+
+    def test_repeat_gets_the_first_answer(self) -> None:
+        first = self._append(1, 0)
+        self.assertEqual(self._append(1, 0), first)
+        self.assertEqual(self.partition.end, 1)
+
+    def test_lower_epoch_is_fenced(self) -> None:
+        self._append(2, 0)
+        self.assertEqual(self._append(1, 1).body, {'why': 'fenced'})
+
+    def test_gap_names_the_number_expected(self) -> None:
+        self._append(1, 0)
+        refused = self._append(1, 5)
+        self.assertEqual(refused.body, {'why': 'seq', 'Seq': 1})
+
+    def test_condition_on_the_end(self) -> None:
+        self._append(1, 0)
+        refused = self.partition.append([b'x'], 0, at=0)
+        self.assertEqual(refused.status, 412)
+        self.assertEqual(refused.body, {'End': 1})
+
+    def _append(self, epoch: int, number: int) -> Any:
+        sequence = Sequence('p', epoch, number)
+        return self.partition.append([b'x'], 0, sequence=sequence)
--- a/packages/turmericpost-entry/tests/test_entry_processes.py
+++ b/packages/turmericpost-entry/tests/test_entry_processes.py
@@ -86,7 +86,7 @@
 
     def test_serving_goes_on_while_the_log_is_down(self) -> None:
         vm = self.cluster.vms[0]
-        self.cluster.stand_ins.control('/log', {'is_down': True})
+        self.cluster.stand_ins.control('/store', {'is_down': True})
         document = vm.admin('configuration')['document']
         answer = vm.admin(
             'changes',
@@ -98,7 +98,7 @@
 
     def test_a_lost_answer_neither_loses_nor_doubles_a_change(self) -> None:
         vm = self.cluster.vms[0]
-        self.cluster.stand_ins.control('/log', {'lose_next_answers': 1})
+        self.cluster.stand_ins.control('/store', {'lose_next_answers': 1})
         document = vm.admin('configuration')['document']
         answer = vm.admin(
             'changes',
--- a/packages/turmericpost-standins/src/turmericpost_standins/commands.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/commands.py
@@ -104,7 +104,7 @@
     deployment: str = 'egypt',
     duration_s: float = 600,
 ) -> int:
-    """Run the log service, the VM list and the back ends of a deployment.
+    """Run the store, the VM list and the back ends of a deployment.
 
     :param deployment: egypt or quebec
     :param duration_s: seconds after which the stand-ins end by themselves
@@ -120,7 +120,7 @@
     control = reactor.listenTCP(0, Site(Control(platform)), interface=_LOOPBACK)
     places = {
         'control_port': control.getHost().port,
-        'log_service_url': platform.log_url,
+        'store_address': platform.store_address,
         'vm_list_url': platform.vm_list_url,
         'backends': platform.backend_ports,
     }
--- a/packages/turmericpost-standins/src/turmericpost_standins/control.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/control.py
@@ -20,7 +20,7 @@
 
 
 class Control(Resource):
-    """``/runs`` and ``/load`` to read; ``/faults``, ``/log``, ``/vms`` to set."""
+    """``/runs`` and ``/load`` to read; ``/faults``, ``/store``, ``/vms`` to set."""
 
     isLeaf = True  # noqa: WPS115
 
@@ -48,8 +48,8 @@
         if path == '/vms':
             vms = tuple(ListedVm(**one) for one in change)
             self._platform.vm_list.set_vms(vms)
-        elif path == '/log':
-            _set_all(self._platform.log.faults, change)
+        elif path == '/store':
+            _set_all(self._platform.store.faults, change)
         else:
             self._apply_to_backends(change)
 
--- a/packages/turmericpost-standins/src/turmericpost_standins/experiment/processes.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/experiment/processes.py
@@ -86,7 +86,7 @@
             'PEER_PORT': self.name.rpartition(':')[2],
             'FAILURE_DOMAIN': domain,
             'REGION': domain.rpartition('-')[0],
-            'LOG_SERVICE_URL': places['log_service_url'],
+            'STORE_ADDRESS': places['store_address'],
             'VM_LIST_URL': places['vm_list_url'],
         }
         variables = {
--- a/packages/turmericpost-standins/src/turmericpost_standins/platform.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform.py
@@ -18,7 +18,7 @@
 )
 from turmericpost_standins.backend import BackendSize, BackendStandIn
 from turmericpost_standins.deployments import Deployment
-from turmericpost_standins.log_service import LogService
+from turmericpost_standins.store.service import StoreService
 from turmericpost_standins.vm_list import ListedVm, VmList
 
 CONFIGURATION_STREAM = 'turmericpost-configuration'
@@ -27,15 +27,15 @@
 
 
 class StandInPlatform:
-    """Log service, VM list and the back ends of a deployment."""
+    """Store, VM list and the back ends of a deployment."""
 
     def __init__(self, reactor: Any, deployment: Deployment) -> None:
-        self.log = LogService(reactor)
+        self.store = StoreService(reactor)
         self.vm_list = VmList(reactor)
         self.backends: dict[str, list[BackendStandIn]] = {}
         self.backend_ports: dict[str, list[int]] = {}
         self.peer_port = 0
-        self.log_url = ''
+        self.store_address = ''
         self.vm_list_url = ''
         self._reactor = reactor
         self._deployment = deployment
@@ -43,7 +43,7 @@
 
     def start(self) -> None:
         """Open every port; the numbers are free ones."""
-        self.log_url = self._url(self._listen(self.log))
+        self.store_address = f'{_LOOPBACK}:{self._listen(self.store)}'
         self.vm_list_url = self._url(self._listen(self.vm_list))
         for service in self._deployment.services:
             self.backends[service.name] = []
@@ -73,7 +73,7 @@
             published_at_utc=datetime.now(UTC),
             document=dict(document),
         )
-        self.log.append(CONFIGURATION_STREAM, encode_record(record))
+        self.store.append(CONFIGURATION_STREAM, encode_record(record))
 
     async def stop(self) -> None:
         """Close every port."""
