--- a/packages/turmericpost-standins/src/turmericpost_standins/store/service.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/store/service.py
@@ -182,7 +182,7 @@
         topic = _text(request, 'Topic')
         body = request.content.read()
         status = self._append_refusal(topic, len(body))
-        if status is not None:
+        if status:
             self._answer(request, status, {})
         elif self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
@@ -190,12 +190,13 @@
         else:
             self._answer_append(request, self._store(request, topic, body))
 
-    def _append_refusal(self, topic: str, added: int) -> int | None:
+    def _append_refusal(self, topic: str, added: int) -> int:
+        """Return the status of a refusal, 0 for none."""
         if topic in _READ_ONLY:
             return _FORBIDDEN
         if not self._writes.take(self._reactor.seconds()):
             return _TOO_MANY
-        return _FULL if self._is_full(topic, added) else None
+        return _FULL if self._is_full(topic, added) else 0
 
     def _lose(self, request: Request, topic: str, body: bytes) -> None:
         """Do an append without an answer, at once or later."""
