Estimate usual work and waits from what calls really took

Asks at the back of a queue waited to the end, because the wait was estimated as if every slot were fast. Change: latencies under a tenth of the objective say nothing of usual work; the wait of an ask follows the pace at which permits came of late, and asks that can not end in time are refused as soon as that is known.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -142,7 +142,8 @@
             if finish.figures is None:
                 use.tells_load = False
             factor = grant.slowness_percent / _PERCENT
-            self._queue(_pool(use)).record_work(finish.latency_s / factor)
+            queue = self._queue(_pool(use))
+            queue.record_work(finish.latency_s / factor, grant.objective_s)
         return self.decide(now_s, _pool(use))
 
     def probed(
@@ -226,9 +227,17 @@
         queue: ServiceQueue,
         now_s: float,
     ) -> Iterator[Decision]:
+        ahead = 0
+        slots = self._slots(pool)
         for ask in tuple(queue.in_order(now_s)):
             decision = self._place(ask, queue, now_s)
-            if decision is not None:
+            if decision is None and ahead:
+                wait_s = queue.wait_s(ahead, slots, ask, now_s)
+                if now_s + wait_s + queue.usual_s(ask) > ask.deadline_at_s:
+                    decision = Denied(ask, AskEnd.OVERLOADED, wait_s)
+            if decision is None:
+                ahead += 1
+            else:
                 queue.remove(ask.ask_id)
                 yield decision
         if queue:
@@ -245,6 +254,7 @@
             return Denied(ask, AskEnd.DEADLINE, usual_s)
         use = self._best(ask, usual_s, now_s)
         if use is not None:
+            queue.record_grant(now_s)
             return self._grant(ask, use, now_s)
         waited_s = now_s - ask.asked_s
         leaves = ask.may_leave and queue.is_late(ask, now_s + usual_s / 2)
@@ -297,6 +307,7 @@
             ask.asker,
             now_s,
             ask.deadline_at_s,
+            ask.objective_at_s - ask.arrived_s,
             use.slowness_percent,
         )
         granted = Granted(
@@ -334,12 +345,11 @@
         queue: ServiceQueue,
         now_s: float,
     ) -> Denied | None:
-        uses = self._by_pool.get(ask.pool, ())
-        slots = sum(usable_slots(use.backend.slots) for use in uses)
+        slots = self._slots(ask.pool)
         if not slots:
             return Denied(ask, AskEnd.NO_BACKEND)
         usual_s = queue.usual_s(ask)
-        wait_s = len(queue) * usual_s / slots
+        wait_s = queue.wait_s(len(queue), slots, ask, now_s)
         end_s = now_s + wait_s + usual_s
         if ask.may_leave and end_s > ask.objective_at_s:
             return Denied(ask, AskEnd.ELSEWHERE)
@@ -347,6 +357,10 @@
             return Denied(ask, AskEnd.OVERLOADED, wait_s)
         return None
 
+    def _slots(self, pool: Pool) -> int:
+        uses = self._by_pool.get(pool, ())
+        return sum(usable_slots(use.backend.slots) for use in uses)
+
     def _release(
         self,
         grant: Grant,
--- a/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
@@ -57,6 +57,13 @@
 LATENCY_WEIGHT = 0.1
 """Weight of a new latency in the running mean: about the last 20 calls."""
 
+LEAST_WORK_SHARE = 0.1
+"""Share of the objective below which a latency says nothing of usual work.
+
+Calls that only test a route end within a few milliseconds; deployments'
+objectives are two to three times their work.
+"""
+
 COLD_FACTOR = 2.0
 """How much longer work takes at a cold server, as deployments state it."""
 
--- a/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import TypeAlias
 
@@ -121,4 +121,5 @@
     asker: str
     granted_s: float
     expires_s: float
-    slowness_percent: float = field(default=100.0)
+    objective_s: float = 0
+    slowness_percent: float = 100.0
--- a/packages/turmericpost-core/src/turmericpost_core/grants/waiting_asks.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/waiting_asks.py
@@ -4,7 +4,11 @@
 
 from collections.abc import Iterator
 
-from turmericpost_core.grants.limits import LATENCY_WEIGHT, OBJECTIVE_SHARE
+from turmericpost_core.grants.limits import (
+    LATENCY_WEIGHT,
+    LEAST_WORK_SHARE,
+    OBJECTIVE_SHARE,
+)
 from turmericpost_core.grants.permits import Ask
 
 
@@ -14,6 +18,8 @@
     def __init__(self) -> None:
         self._asks: dict[str, Ask] = {}
         self._usual_s: float | None = None
+        self._gap_s: float | None = None
+        self._granted_s: float | None = None
 
     def __len__(self) -> int:
         """Return how many asks wait."""
@@ -29,13 +35,38 @@
             return OBJECTIVE_SHARE * (ask.objective_at_s - ask.arrived_s)
         return self._usual_s
 
-    def record_work(self, work_s: float) -> None:
+    def record_work(self, work_s: float, objective_s: float) -> None:
         """Take in the work of an answered call, at usual speed."""
+        if work_s < LEAST_WORK_SHARE * objective_s:
+            return
         if self._usual_s is None:
             self._usual_s = work_s
         else:
             self._usual_s += LATENCY_WEIGHT * (work_s - self._usual_s)
 
+    def record_grant(self, now_s: float) -> None:
+        """Take in that a waiting ask got its permit."""
+        is_backlog = len(self._asks) > 1
+        if is_backlog and self._granted_s is not None:
+            gap_s = now_s - self._granted_s
+            if self._gap_s is None:
+                self._gap_s = gap_s
+            else:
+                self._gap_s += LATENCY_WEIGHT * (gap_s - self._gap_s)
+        self._granted_s = now_s if is_backlog else None
+
+    def wait_s(self, ahead: int, slots: int, ask: Ask, now_s: float) -> float:
+        """Return how long an ask waits with some ahead of it.
+
+        As long as permits of late came one after the other, at least as
+        long as it took the slots if all were fast.
+        """
+        gap_s = self.usual_s(ask) / slots
+        if self._granted_s is not None:
+            silent_s = now_s - self._granted_s
+            gap_s = max(gap_s, self._gap_s or 0, silent_s)
+        return ahead * gap_s
+
     def add(self, ask: Ask) -> None:
         """Let an ask wait."""
         self._asks[ask.ask_id] = ask
--- a/packages/turmericpost-core/tests/grants/test_broker.py
+++ b/packages/turmericpost-core/tests/grants/test_broker.py
@@ -257,3 +257,33 @@
             granted(made.probed('b0', busy, 0.01, is_healthy=True)),
         )
         self.assertLess(0.01, OBJECTIVE_S)
+
+
+class EstimateTest(unittest.TestCase):
+    def test_calls_without_work_do_not_shorten_usual_work(self) -> None:
+        """Load pattern: calls that only test a route, ending at once."""
+        made = broker(1)
+        for step in range(60):
+            now_s = step / 10
+            decisions = made.ask(ask(step, now_s), now_s)
+            decisions += report(made, 0, now_s)
+            for permit in granted(decisions):
+                done = Finish(SendOutcome.SUCCESS, 0.003, figures(100, 1))
+                made.finished(permit.grant_id, done, now_s)
+        made.ask(ask(99, 7), 7)
+        self.assertFalse(granted(report(made, 0, 7.01, slowness=400)))
+
+    def test_those_at_the_back_are_refused_before_their_deadline(self) -> None:
+        """Load pattern: servers that turned slow under a queue."""
+        made = broker(1)
+        decisions: list[object] = []
+        for number in range(12):
+            decisions.extend(made.ask(ask(number, 0), 0))
+        decisions.extend(report(made, 0, 0.01))
+        decisions.extend(made.decide(0.5))
+        decisions.extend(made.decide(0.9))
+        ends = denied(tuple(decisions))
+        self.assertGreater(len(ends), 5)
+        for end in ends:
+            self.assertIs(end.end, AskEnd.OVERLOADED)
+            self.assertGreater(end.retry_after_s, 0)
