--- a/packages/turmericpost-core/src/turmericpost_core/fleet/operator_config.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/operator_config.py
@@ -96,6 +96,15 @@
             for host, found in by_host.items()
         }
 
+    def bound_routes(self) -> tuple[str, ...]:
+        """Return the names of all routes that have home regions."""
+        return tuple(
+            route.name
+            for routes in self._by_host.values()
+            for route in routes
+            if route.home_regions
+        )
+
     def of_host(self, host: str) -> tuple[OperatorRoute, ...]:
         """Return every route of a host."""
         return self._by_host.get(host, ())
--- a/packages/turmericpost-core/src/turmericpost_core/membership/address_choice.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/address_choice.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from turmericpost_core.fleet.operator_config import OperatorRoute
+from turmericpost_core.membership.demand import HOME_SHARE
 from turmericpost_core.membership.domain_view import DomainView, Vm
 
 MOST_ADDRESSES = 64
@@ -14,13 +15,33 @@
 def allowed_regions(
     routes: Iterable[OperatorRoute],
     regions: frozenset[str],
+    work_s: Mapping[str, float],
 ) -> frozenset[str]:
-    """Return the regions that may serve every route of a host."""
-    allowed = regions
-    for route in routes:
-        if route.home_regions:
-            allowed &= route.home_regions
-    return allowed
+    """Return the regions that may serve the work of a host.
+
+    Routes with home regions count by the work their calls need, so that one
+    that nobody calls does not bind the others. Before any call is known
+    only the regions that may serve every route are returned.
+    """
+    bound = [route for route in routes if route.home_regions]
+    total_s = sum(work_s.get(route.name, 0) for route in bound)
+    return frozenset(
+        region for region in regions if _serves(bound, region, work_s, total_s)
+    )
+
+
+def _serves(
+    bound: list[OperatorRoute],
+    region: str,
+    work_s: Mapping[str, float],
+    total_s: float,
+) -> bool:
+    if not total_s:
+        return all(route.may_serve(region) for route in bound)
+    allowed_s = sum(
+        work_s.get(route.name, 0) for route in bound if route.may_serve(region)
+    )
+    return allowed_s >= HOME_SHARE * total_s
 
 
 def choose_vms(
--- a/packages/turmericpost-core/tests/membership/test_domain_view.py
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -134,8 +134,17 @@
         bound = route('/b/')
         both = (route('/a/'), _at_home(bound, homes))
         regions = frozenset(_REGIONS.values())
-        self.assertEqual(allowed_regions(both, regions), homes)
-        self.assertEqual(allowed_regions(both[:1], regions), regions)
+        self.assertEqual(allowed_regions(both, regions, {}), homes)
+        self.assertEqual(allowed_regions(both[:1], regions, {}), regions)
+
+    def test_routes_that_nobody_calls_do_not_bind(self) -> None:
+        """Load pattern: idle routes with other homes on the same host."""
+        cairo = _at_home(route('/b/'), frozenset(('cairo',)))
+        alex = _at_home(route('/c/'), frozenset(('alex',)))
+        regions = frozenset(_REGIONS.values())
+        found = allowed_regions((cairo, alex), regions, {'/b/': 9, '/c/': 0.1})
+        self.assertEqual(found, {'cairo'})
+        self.assertEqual(allowed_regions((cairo, alex), regions, {}), set())
 
     def _names(self, domain: str, allowed: set[str]) -> set[str]:
         found = choose_vms(
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -98,12 +98,13 @@
 
 
 def _heartbeat(fields: Any) -> Heartbeat:
-    vm, standing, knowledge, holds = fields
+    vm, standing, knowledge, holds, demand = fields
     return Heartbeat(
         unpack_vm(vm),
         VmStanding(standing),
         _knowledge(knowledge),
         dict(holds),
+        dict(demand),
     )
 
 
@@ -112,13 +113,14 @@
 
 
 def _digest(fields: Any) -> Digest:
-    domain, age_s, vms, knowledge, sender = fields
+    domain, age_s, vms, knowledge, sender, demand = fields
     return Digest(
         domain,
         age_s,
         _standings(vms),
         _knowledge(knowledge),
         sender,
+        dict(demand),
     )
 
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
@@ -34,13 +34,15 @@
 class Heartbeat:
     """The sender lives; ``holds`` are its permits that concern the receiver.
 
-    It maps permits to the backend servers that they are for.
+    It maps permits to the backend servers that they are for. ``demand`` is
+    the work in seconds of the routes with home regions.
     """
 
     vm: Vm
     standing: VmStanding
     knowledge: Knowledge
     holds: Mapping[str, str]
+    demand: Mapping[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,7 @@
     vms: tuple[tuple[Vm, VmStanding], ...]
     knowledge: Knowledge
     sender: str
+    demand: Mapping[str, float]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.protocol import DatagramProtocol
 
@@ -17,6 +17,7 @@
 )
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.clock import Clock
+from turmericpost_core.membership.demand import SharedDemand
 from turmericpost_core.membership.domain_view import (
     DomainDigest,
     DomainView,
@@ -41,6 +42,7 @@
 
     knowledge: Callable[[], Knowledge]
     holds_for: Callable[[str], Mapping[str, str]]
+    demand: Callable[[], Mapping[str, float]]
     heard_knowledge: Callable[[Vm, Knowledge], None]
     held: Callable[[str, Mapping[str, str]], None]
     live_changed: Callable[[frozenset[str], frozenset[str]], None]
@@ -59,6 +61,7 @@
     ) -> None:
         self.view = view
         self.bytes_sent = 0
+        self.demand = SharedDemand()
         self._clock = clock
         self._regions = regions
         self._listeners = listeners
@@ -93,6 +96,7 @@
     def beat(self) -> None:
         """Send heartbeats, now and then a digest, and note who is silent."""
         self._review()
+        self.demand.tell(self.view.own.name, self._listeners.demand())
         for vm in self.view.called(self.view.own.failure_domain):
             self.send(vm, self._heartbeat(vm.name))
         now_s = self._clock.monotonic_s()
@@ -116,6 +120,7 @@
             self.view.members(now_s),
             self._listeners.knowledge(),
             own.name,
+            self._domain_demand(),
         )
         for domain in self._regions:
             if domain != own.failure_domain:
@@ -148,6 +153,7 @@
             self.view.own_standing,
             self._listeners.knowledge(),
             self._listeners.holds_for(receiver),
+            self._listeners.demand(),
         )
 
     def _heard(self, heartbeat: Heartbeat) -> None:
@@ -157,6 +163,8 @@
             self.send(vm, KnownVms(self.view.known()))
             self.send(vm, self._heartbeat(vm.name))
         self._review()
+        if vm.failure_domain == self.view.own.failure_domain:
+            self.demand.tell(vm.name, heartbeat.demand)
         self._listeners.heard_knowledge(vm, heartbeat.knowledge)
         self._listeners.held(vm.name, heartbeat.holds)
 
@@ -171,21 +179,23 @@
                 digest.vms,
             ),
         )
+        self.demand.tell(digest.failure_domain, digest.demand)
         by_name = {vm.name: vm for vm, _ in digest.vms}
         sender = by_name.get(digest.sender)
         if sender is not None:
             self._listeners.heard_knowledge(sender, digest.knowledge)
         if not digest.age_s:
-            passed_on = Digest(
-                digest.failure_domain,
-                PASSED_ON_AGE_S,
-                digest.vms,
-                digest.knowledge,
-                digest.sender,
-            )
+            passed_on = replace(digest, age_s=PASSED_ON_AGE_S)
             for vm in self.view.called(own_domain):
                 self.send(vm, passed_on)
 
+    def _domain_demand(self) -> dict[str, float]:
+        """Return the demand of all VMs of the own domain."""
+        now_s = self._clock.monotonic_s()
+        names = [vm.name for vm, _ in self.view.members(now_s)]
+        total = self.demand.total(names)
+        return {route: round(work_s, 1) for route, work_s in total.items()}
+
     def _review(self) -> None:
         gained, lost = self.view.review(self._clock.monotonic_s())
         if gained or lost:
@@ -194,6 +204,8 @@
                 gained=sorted(gained),
                 lost=sorted(lost),
             )
+            for name in lost:
+                self.demand.forget(name)
             self._listeners.live_changed(gained, lost)
 
     def _representatives(self, domain: str, now_s: float) -> tuple[Vm, ...]:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/endpoints.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/endpoints.py
@@ -36,6 +36,7 @@
     view: DomainView
     state: FleetState
     domain_regions: Mapping[str, str]
+    work_s: Callable[[], Mapping[str, float]]
     is_ready: Callable[[], bool]
     collector: GatewayCollector
 
@@ -72,7 +73,11 @@
             self.view,
             self.domain_regions,
             failure_domain,
-            allowed_regions(self.state.routes.of_host(host), regions),
+            allowed_regions(
+                self.state.routes.of_host(host),
+                regions,
+                self.work_s(),
+            ),
             self.clock.monotonic_s(),
         )
         if not found:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -19,6 +19,7 @@
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.fleet.operator_config import OperatorRoute
 from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.membership.demand import Demand
 from turmericpost_core.outcome.next_step import SendEnd
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.domain_order import domain_order
@@ -52,6 +53,7 @@
         self._regions = settings.domain_regions
         self._metrics = metrics
         self._random = Random()
+        self._demand = Demand()
 
     def begin(self, exchange: Exchange) -> None:
         """Begin a call, or refuse it at once."""
@@ -64,6 +66,11 @@
         else:
             self._refuse(exchange, head, Refusal(reason))
 
+    def demand_told(self) -> dict[str, float]:
+        """Return the work of the routes with home regions."""
+        now_s = self.tools.clock.monotonic_s()
+        return self._demand.told(self._state.routes.bound_routes(), now_s)
+
     def domains(self, facts: CallFacts) -> tuple[str, ...]:
         """Return the failure domains to try, the nearest first."""
         return domain_order(
@@ -96,6 +103,8 @@
         """Note a call that got an answer of a backend server."""
         self._over(call)
         latency_s = self._age_s(call)
+        now_s = self.tools.clock.monotonic_s()
+        self._demand.record(call.facts.route.name, latency_s, now_s)
         self._metrics.record_answered(latency_s, status)
         sampled = not _point(call.call_id) % SAMPLED_ONE_IN
         if sampled or status >= _FIRST_FAILURE_STATUS:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -160,6 +160,7 @@
             PeerListeners(
                 knowledge=self.learning.knowledge,
                 holds_for=lambda name: self.desk.holds_for(name),
+                demand=lambda: self.calls.demand_told(),
                 heard_knowledge=self.learning.heard,
                 held=lambda name, holds: self.broker_desk.held(name, holds),
                 live_changed=self._live_changed,
@@ -228,6 +229,7 @@
             view=self.view,
             state=self.state,
             domain_regions=settings.domain_regions,
+            work_s=self.peers.demand.total,
             is_ready=lambda: self.is_ready,
             collector=GatewayCollector(self.metrics, self._gauges),
         )
