Tell the whole way of a call in one log line, and read it back

Cause: a failed call's line named only its last permit; the asks, denials and sends before it, and what was believed of the servers, had to be guessed. Change: every line about a call carries its trail: asks, denials with their reason, permits with slowness and age of the report, sends and their ends. Lines carry time and VM; changes of a server's standing, of the broker of a pool and of the servers in use are lines of their own; lines about calls are bounded a second and what is left out is counted. turmericpostctl explain-request prints the story from the logs of several VMs.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_use.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_use.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from enum import Enum
 
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.limits import (
@@ -24,6 +25,16 @@
 _MAX_DOUBLINGS = 5
 
 
+class Standing(Enum):
+    """What a broker believes of a backend server."""
+
+    UNKNOWN = 'unknown'
+    WARM = 'warm'
+    COLD = 'cold'
+    FAILING = 'failing'
+    ILL = 'ill'
+
+
 class BackendUse:
     """Permits in use, reports and standing of one backend server.
 
@@ -48,6 +59,18 @@
         self._failures = 0
         self._shunned_until_s = _NEVER_S
 
+    def standing(self, now_s: float) -> Standing:
+        """Return what is believed of the server."""
+        if self._failures:
+            return Standing.FAILING
+        if not self.is_healthy:
+            return Standing.ILL
+        if self.is_cold(now_s):
+            return Standing.COLD
+        if self.reported_s == _NEVER_S:
+            return Standing.UNKNOWN
+        return Standing.WARM
+
     def in_use(self, now_s: float) -> int:
         """Return the slots in use as far as known."""
         foreign = self._foreign
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/commands.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/commands.py
@@ -18,6 +18,7 @@
     plan_lines,
     status_lines,
 )
+from turmericpost_ctl.request_story import read_story, story_lines
 from turmericpost_ctl.settings import DEFAULT_ADMIN_URL, DEFAULT_WAIT_S
 
 
@@ -84,6 +85,29 @@
     return _print_view(admin_url, 'plan', plan_lines)
 
 
+def explain_request(request_id: str, *files: Path) -> int:
+    """Print what happened to a request, from the logs of several VMs.
+
+    :param request_id: id that the caller gave the request
+    :param files: log files; standard input if there are none
+    """
+    lines: list[str] = []
+    for path in files:
+        try:
+            text = path.read_text(encoding='utf-8', errors='replace')
+        except OSError as error:
+            _print((f'{path}: {error.strerror}',), failed=True)
+            return ExitStatus.USAGE.value
+        lines.extend(text.splitlines())
+    story = read_story(lines if files else sys.stdin, request_id)
+    if not story.calls:
+        missing = f'no line tells about {request_id}'
+        _print((missing, *story_lines(story, request_id)), failed=True)
+        return ExitStatus.USAGE.value
+    _print(story_lines(story, request_id), failed=False)
+    return ExitStatus.IN_FORCE.value
+
+
 def explain(
     *,
     service: str,
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/run.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/run.py
@@ -7,6 +7,7 @@
 from turmericpost_command.command_line import run_command
 from turmericpost_ctl.commands import (
     explain,
+    explain_request,
     history,
     plan,
     publish,
@@ -14,10 +15,20 @@
     status,
 )
 
-_FUNCTIONS = (publish, show, status, history, explain, plan)
+_FUNCTIONS = (
+    publish,
+    show,
+    status,
+    history,
+    explain,
+    explain_request,
+    plan,
+)
 
 
 def run() -> None:
     """Run the command that the arguments name."""
-    functions = {function.__name__: function for function in _FUNCTIONS}
+    functions = {
+        function.__name__.replace('_', '-'): function for function in _FUNCTIONS
+    }
     sys.exit(run_command('turmericpostctl', functions, sys.argv[1:]))
--- /dev/null
+++ b/packages/turmericpost-ctl/tests/test_request_story.py
@@ -0,0 +1,56 @@
+"""Story of a request from log lines."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from turmericpost_ctl.request_story import read_story, story_lines
+
+_CALL = {
+    'at_utc': '2026-12-04T10:00:02.000',
+    'vm': 'vm1',
+    'name': 'call-failed',
+    'call': 'abc',
+    'status': 504,
+    'reason': 'deadline-exceeded',
+    'service': 'press',
+    'ms': 1500,
+    'trail': [
+        {'ms': 3, 'step': 'permit', 'backend': 'b1', 'slowness': 400},
+        {'ms': 4, 'step': 'sent', 'backend': 'b1'},
+    ],
+}
+_FAILING = {
+    'at_utc': '2026-12-04T10:00:01.000',
+    'vm': 'vm2',
+    'name': 'backend-changed',
+    'backend': 'b1',
+    'was': 'warm',
+    'standing': 'failing',
+}
+
+
+class RequestStoryTest(unittest.TestCase):
+    def test_lines_of_several_vms_are_put_in_order(self) -> None:
+        lines = [
+            json.dumps(_CALL),
+            f'  1.0 vm2 {json.dumps(_FAILING)}',
+            json.dumps({**_FAILING, 'backend': 'b9'}),
+            json.dumps({**_CALL, 'call': 'other'}),
+            'nonsense',
+            '',
+        ]
+        story = read_story(lines, 'abc')
+        text = '\n'.join(story_lines(story, 'abc'))
+        self.assertEqual(len(story.calls), 1)
+        self.assertEqual(len(story.changes), 1)
+        self.assertEqual(story.unreadable_lines, 1)
+        self.assertIn('slowness=400', text)
+        self.assertIn('deadline-exceeded', text)
+        self.assertIn('standing=failing', text)
+
+    def test_unknown_request_has_no_story(self) -> None:
+        story = read_story([json.dumps(_CALL)], 'zzz')
+        self.assertEqual(story.calls, [])
+        self.assertEqual(story.changes, [])
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -15,6 +15,7 @@
 )
 from turmericpost.gateway.permit_desk import Permit, Wish
 from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.gateway.trail import Trail
 from turmericpost.http1.client import BackendConnection
 from turmericpost.http1.exchange import Exchange
 from turmericpost.http1.heads import (
@@ -44,6 +45,7 @@
 DEADLINE_MARGIN_S = 0.005
 """Time by which the answer at a deadline goes out before it."""
 
+_MS_PER_S = 1000
 _FRAMING = frozenset((CONTENT_LENGTH,))
 
 
@@ -96,14 +98,8 @@
     def call_cancelled(self, call: GatewayCall) -> None:
         """Note a call whose caller went away."""
 
-    def send_failed(
-        self,
-        call: GatewayCall,
-        attempt: Attempt,
-        end: SendEnd,
-        cause: str,
-    ) -> None:
-        """Note a send without a whole answer."""
+    def send_failed(self, cause: str) -> None:
+        """Count a send without a whole answer."""
 
 
 class GatewayCall:
@@ -120,7 +116,7 @@
             facts.route.is_idempotent,
             facts.route.max_attempts,
         )
-        self.last_permit: Permit | None = None
+        self.trail = Trail(host.tools.clock, facts.arrived_s)
         self._host = host
         self._exchange = exchange
         self._body = RequestBody(
@@ -194,7 +190,14 @@
     def permitted(self, permit: Permit) -> None:
         """Send the call."""
         self._ask_id = None
-        self.last_permit = permit
+        self.trail.add(
+            'permit',
+            permit=permit.grant_id,
+            backend=permit.backend.backend_id,
+            domain=permit.backend.failure_domain,
+            slowness=permit.slowness_percent,
+            report_ms=round(permit.report_age_s * _MS_PER_S),
+        )
         attempt = Attempt(self, permit, self._host.tools)
         self._attempt = attempt
         is_repeatable = self.facts.route.is_idempotent
@@ -204,6 +207,7 @@
     def denied(self, end: AskEnd, retry_after_s: float) -> None:
         """Try another failure domain, or refuse."""
         self._ask_id = None
+        self.trail.add('denied', end=end.value, retry_after_s=retry_after_s)
         if end in {AskEnd.REPEAT_BUDGET, AskEnd.DEADLINE}:
             self._fail(retry_after_s)
         else:
@@ -218,6 +222,7 @@
         left_s = self.facts.deadline_at_s - self._now_s()
         head = self._host.onward_head(self._exchange, backend_id, left_s)
         connection.write(head + self._body.attach(connection))
+        self.trail.add('sent', backend=backend_id, left_s=round(left_s, 3))
         self._exchange.resume_body()
         return True
 
@@ -236,7 +241,7 @@
         step = next_step(self.record, SendEnd.ANSWERED, answer.facts.status)
         if step is NextStep.REPEAT_OR_DELIVER and self._body.is_replayable:
             self._fallback = answer
-            self._repeat(attempt, SendEnd.ANSWERED, 'server-error')
+            self._repeat(attempt, 'server-error')
         else:
             self._deliver(answer)
 
@@ -260,7 +265,7 @@
         cause: str,
     ) -> None:
         """Send the call again or fail truthfully."""
-        self._ended(attempt, end)
+        self._ended(attempt, end, cause)
         if self._is_streaming:
             self._close()
             reason = RefusalReason.TRUNCATED_ANSWER
@@ -269,9 +274,9 @@
             return
         step = next_step(self.record, end)
         if step is NextStep.REPEAT and self._body.is_replayable:
-            self._repeat(attempt, end, cause)
+            self._repeat(attempt, cause)
         else:
-            self._host.send_failed(self, attempt, end, cause)
+            self._host.send_failed(cause)
             self._fail(0)
 
     def pause_request(self) -> None:
@@ -300,6 +305,12 @@
         if stop is None:
             self._fail(retry_after_s)
         else:
+            self.trail.add(
+                'ask',
+                domain=stop.failure_domain,
+                may_wait=stop.may_wait,
+                is_repeat=self.record.is_repeat,
+            )
             self._host.ask(self._wish(stop), self)
 
     def _wish(self, stop: Stop) -> Wish:
@@ -317,12 +328,18 @@
             excluded=frozenset(self._tried),
         )
 
-    def _repeat(self, attempt: Attempt, end: SendEnd, cause: str) -> None:
-        self._host.send_failed(self, attempt, end, cause)
+    def _repeat(self, attempt: Attempt, cause: str) -> None:
+        self._host.send_failed(cause)
         self._tried.add(attempt.permit.backend.backend_id)
         self._seek()
 
-    def _ended(self, attempt: Attempt, end: SendEnd) -> None:
+    def _ended(self, attempt: Attempt, end: SendEnd, cause: str = '') -> None:
+        self.trail.add(
+            'ended',
+            backend=attempt.permit.backend.backend_id,
+            end=end.value,
+            cause=cause,
+        )
         self._attempt = None
         self._body.detach()
         self.record = record_send(self.record, end)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -8,7 +8,7 @@
 
 from xxhash import xxh32_intdigest
 
-from turmericpost.gateway.attempt import Attempt, AttemptTools
+from turmericpost.gateway.attempt import AttemptTools
 from turmericpost.gateway.call import CallFacts, GatewayCall
 from turmericpost.gateway.dialect import CallHead
 from turmericpost.gateway.gateway_metrics import GatewayMetrics
@@ -17,18 +17,21 @@
 from turmericpost.gateway.settings import GatewaySettings
 from turmericpost.http1.exchange import Exchange
 from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.line_rate import LineRate
 from turmericpost_core.fleet.operator_config import OperatorRoute
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.membership.demand import Demand
-from turmericpost_core.outcome.next_step import SendEnd
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.domain_order import domain_order
 
 SAMPLED_ONE_IN = 8
 """Answered calls that are logged: the same ids on every VM."""
 
+CALL_LINES_PER_S = 60
+"""Lines about calls that one VM writes in a second at most: all failures of
+the first deployments' heaviest days, at half a kilobyte a line."""
+
 _FIRST_FAILURE_STATUS = 500
-_MS_PER_S = 1000
 
 
 class Ingress:
@@ -54,6 +57,7 @@
         self._metrics = metrics
         self._random = Random()
         self._demand = Demand()
+        self._rate = LineRate(tools.clock, CALL_LINES_PER_S)
 
     def begin(self, exchange: Exchange) -> None:
         """Begin a call, or refuse it at once."""
@@ -108,7 +112,7 @@
         self._metrics.record_answered(latency_s, status)
         sampled = not _point(call.call_id) % SAMPLED_ONE_IN
         if sampled or status >= _FIRST_FAILURE_STATUS:
-            log_event(
+            self._log(
                 LogEvent.CALL_ENDED,
                 status=status,
                 **self._story(call),
@@ -118,7 +122,7 @@
         """Note a call that got an answer of this VM."""
         self._over(call)
         self._metrics.refusals[refusal.reason] += 1
-        log_event(
+        self._log(
             LogEvent.CALL_FAILED,
             status=refusal.status,
             reason=refusal.reason.value,
@@ -130,23 +134,17 @@
         """Note a call whose caller went away."""
         self._over(call)
         self._metrics.refusals[RefusalReason.CALLER_GONE] += 1
-        log_event(LogEvent.CALL_CANCELLED, **self._story(call))
+        self._log(LogEvent.CALL_CANCELLED, **self._story(call))
 
-    def send_failed(
-        self,
-        call: GatewayCall,
-        attempt: Attempt,
-        end: SendEnd,
-        cause: str,
-    ) -> None:
-        """Note a send without a whole answer."""
+    def send_failed(self, cause: str) -> None:
+        """Count a send without a whole answer."""
         self._metrics.sends_failed[cause] += 1
-        log_event(
-            LogEvent.SEND_FAILED,
-            end=end.value,
-            cause=cause,
-            **self._story(call),
-        )
+
+    def log_left_out(self) -> None:
+        """Log how many lines of failed calls were left out."""
+        left_out = self._rate.take_left_out()
+        if left_out:
+            log_event(LogEvent.LINES_LEFT_OUT, lines=left_out, of='calls')
 
     def _route(self, exchange: Exchange, head: CallHead) -> None:
         route = self._state.routes.find(head.host, head.path)
@@ -182,7 +180,7 @@
         self._metrics.calls_begun += 1
         self._metrics.refusals[refusal.reason] += 1
         config = self._state.config
-        log_event(
+        self._log(
             LogEvent.CALL_FAILED,
             call=head.call_id,
             host=head.host,
@@ -201,22 +199,20 @@
     def _story(self, call: GatewayCall) -> dict[str, object]:
         """Return what decided a call: ids, inputs and their age."""
         config = self._state.config
-        story: dict[str, object] = {
+        return {
             'call': call.call_id,
             'route': call.facts.route.name,
             'service': call.facts.service,
-            'ms': round(self._age_s(call) * _MS_PER_S),
-            'sends': call.record.sends,
+            'ms': call.trail.age_ms(),
             'config': None if config is None else config.version,
+            'backends': self._state.directory.version,
+            'trail': call.trail.steps(),
         }
-        permit = call.last_permit
-        if permit is not None:
-            story['backend'] = permit.backend.backend_id
-            story['domain'] = permit.backend.failure_domain
-            story['permit'] = permit.grant_id
-            story['slowness'] = permit.slowness_percent
-            story['report_ms'] = round(permit.report_age_s * _MS_PER_S)
-        return story
+
+    def _log(self, event: LogEvent, **fields: object) -> None:
+        """Log a line about a call unless there were too many."""
+        if self._rate.take():
+            log_event(event, **fields)
 
 
 def _point(call_id: str) -> int:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -14,25 +14,18 @@
 from turmericpost.fleet.peers import HEARTBEAT_S, PeerListeners, Peers
 from turmericpost.fleet.snapshot_stream import SnapshotServer
 from turmericpost.fleet.store import FleetStore
-from turmericpost.gateway.attempt import AttemptTools
-from turmericpost.gateway.broker_desk import BrokerDesk
-from turmericpost.gateway.connections import ServerConnections
+from turmericpost.gateway.assembly import CallPathNeeds, new_call_path
 from turmericpost.gateway.dialect import Dialect
 from turmericpost.gateway.endpoints import Endpoints
 from turmericpost.gateway.gateway_metrics import (
     GatewayCollector,
     GatewayMetrics,
 )
-from turmericpost.gateway.ingress import Ingress
 from turmericpost.gateway.leaving import LeavePlan, new_leave_plan
-from turmericpost.gateway.permit_desk import PermitDesk
 from turmericpost.gateway.ports import limited_settings, new_caller_port
-from turmericpost.gateway.probes import Probes
 from turmericpost.gateway.settings import Address, GatewaySettings
 from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.reactor_clock import ReactorClock
-from turmericpost_core.grants.broker import Broker
-from turmericpost_core.grants.limits import RepeatBounds
 from turmericpost_core.membership.domain_view import (
     DomainView,
     Vm,
@@ -50,7 +43,6 @@
 JOIN_RETRY_S = 1.0
 """Pause between tries to find another VM of the own failure domain."""
 
-_SLACK_SHARE = 0.5
 _MS_PER_S = 1000
 _LEAVE_CHECK_S = 0.02
 
@@ -74,6 +66,7 @@
         self._ports: list[Any] = []
         self._loops: list[LoopingCall] = []
         self._leave: LeavePlan | None = None
+        self._usable_ids: frozenset[str] = frozenset()
         self.view = DomainView(self._own_vm())
         self._build_fleet()
         self._build_calls()
@@ -159,10 +152,12 @@
             settings.domain_regions,
             PeerListeners(
                 knowledge=self.learning.knowledge,
-                holds_for=lambda name: self.desk.holds_for(name),
+                holds_for=lambda name: self.path.desk.holds_for(name),
                 demand=lambda: self.calls.demand_told(),
                 heard_knowledge=self.learning.heard,
-                held=lambda name, holds: self.broker_desk.held(name, holds),
+                held=lambda name, holds: self.path.broker_desk.held(
+                    name, holds
+                ),
                 live_changed=self._live_changed,
                 message=self._message_received,
             ),
@@ -170,49 +165,19 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
-        promises = settings.promises
-        bounds = RepeatBounds(
-            ratio=promises.repeat_ratio,
-            slack=promises.repeat_slack,
-            window_s=promises.repeat_window_s,
-            slack_share=_SLACK_SHARE / len(settings.domain_regions),
-        )
-        own = self.view.own
-        broker = Broker(f'{own.name}.{own.started_ms}', bounds)
-        self.connections = ServerConnections(self._reactor, self.clock)
-        self.probes = Probes(
-            self._reactor,
-            self.connections,
-            self._dialect,
-            self._health_path,
-        )
-        self.broker_desk = BrokerDesk(
-            self._reactor,
-            self.clock,
-            broker,
-            self.peers,
-            self.probes,
-        )
-        self.desk = PermitDesk(
-            self._reactor,
-            self.clock,
-            self.peers,
-            self.broker_desk,
-        )
-        tools = AttemptTools(
-            self.connections,
-            self._dialect,
-            self.clock,
-            self.desk.finish,
-        )
-        self.calls = Ingress(
-            self._reactor,
-            tools,
-            self.state,
-            self.desk,
-            settings,
-            self.metrics,
+        path = new_call_path(
+            CallPathNeeds(
+                self._reactor,
+                self.clock,
+                settings,
+                self._dialect,
+                self.state,
+                self.peers,
+                self.metrics,
+            ),
         )
+        self.path = path
+        self.calls = path.calls
         self.calls.turns_away = self._turns_away
         self._caller_port = new_caller_port(
             settings.callers,
@@ -300,7 +265,7 @@
         state = self.state
         config = state.config
         if config is not None:
-            self.broker_desk.broker.install_services(config.services)
+            self.path.broker_desk.broker.install_services(config.services)
             self._caller_port.settings = limited_settings(
                 self._settings.callers,
                 config.limits,
@@ -309,8 +274,9 @@
                 self.view.own_standing = VmStanding.READY
                 log_event(LogEvent.READY, config=config.version)
         usable = state.usable_backends()
-        self.broker_desk.broker.install_backends(usable, now_s)
-        self.connections.retain({one.backend_id for one in usable})
+        self.path.broker_desk.broker.install_backends(usable, now_s)
+        ids = frozenset(one.backend_id for one in usable)
+        self.path.connections.retain(ids)
         log_event(
             LogEvent.KNOWLEDGE_CHANGED,
             source=source,
@@ -318,26 +284,31 @@
             operator_offset=state.operator_offset,
             backends_version=state.directory.version,
             usable=len(usable),
+            gained=sorted(ids - self._usable_ids),
+            lost=sorted(self._usable_ids - ids),
             evacuated=sorted(state.evacuated),
         )
+        self._usable_ids = ids
         self.peers.beat()
 
     def _message_received(self, host: str, message: Message) -> None:
-        self.broker_desk.received(host, message)
-        self.desk.received(message)
+        self.path.broker_desk.received(host, message)
+        self.path.desk.received(message)
 
     def _live_changed(
         self,
         gained: frozenset[str],
         lost: frozenset[str],
     ) -> None:
-        self.broker_desk.vms_lost(lost)
+        self.path.broker_desk.vms_lost(lost)
         self.learning.vms_lost(lost)
 
     def _sweep(self) -> None:
         self._caller_port.check_time()
         self._endpoint_port.check_time()
-        self.broker_desk.sweep()
+        self.path.broker_desk.sweep()
+        self.path.beliefs.log_changes()
+        self.calls.log_left_out()
         if self.state.directory.expire(self.clock.monotonic_s()):
             self._knowledge_changed('expiry')
 
@@ -347,11 +318,6 @@
             return False
         return plan.turns_away(self.clock.monotonic_s())
 
-    def _health_path(self, service: str) -> str:
-        config = self.state.config
-        spec = None if config is None else config.services.get(service)
-        return '/health' if spec is None else spec.health_path
-
     def _record_refusal(self, reason: RefusalReason) -> None:
         self.metrics.refusals[reason] += 1
 
@@ -364,7 +330,7 @@
             'store_read_age_s': knowledge.read_age_s,
             'config_version': 0 if config is None else config.version,
             'backends': len(self.state.directory.backends),
-            'probes': self.probes.sent,
-            'server_connections_opened': self.connections.opened,
+            'probes': self.path.probes.sent,
+            'server_connections_opened': self.path.connections.opened,
             'peer_bytes_sent': self.peers.bytes_sent,
         }
--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/trail.py
@@ -0,0 +1,33 @@
+"""What happened to one call, in order, for its one log line."""
+
+from __future__ import annotations
+
+from turmericpost_core.clock import Clock
+
+MOST_STEPS = 24
+"""Steps kept of one call: four sends with their asks and denials."""
+
+_MS_PER_S = 1000
+
+
+class Trail:
+    """Steps of a call with milliseconds since it arrived."""
+
+    def __init__(self, clock: Clock, arrived_s: float) -> None:
+        self._clock = clock
+        self._arrived_s = arrived_s
+        self._steps: list[dict[str, object]] = []
+
+    def add(self, step: str, **inputs: object) -> None:
+        """Note a step with the inputs that decided it."""
+        if len(self._steps) < MOST_STEPS:
+            self._steps.append({'ms': self.age_ms(), 'step': step, **inputs})
+
+    def age_ms(self) -> int:
+        """Return the age of the call in milliseconds."""
+        age_s = self._clock.monotonic_s() - self._arrived_s
+        return round(age_s * _MS_PER_S)
+
+    def steps(self) -> list[dict[str, object]]:
+        """Return the steps so far."""
+        return self._steps
--- a/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
@@ -6,13 +6,19 @@
 
 from __future__ import annotations
 
+import json
 import os
 import sys
 from typing import Any
 
 from logbook import Handler
+from twisted.logger import globalLogPublisher
 
-from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.events import (
+    LogEvent,
+    log_event,
+    log_framework_failure,
+)
 
 BUFFER_BYTES = 262144
 """Room for about a thousand lines: a second of the busiest VM."""
@@ -59,21 +65,25 @@
 
 
 class BoundedHandler(Handler):
-    """Hands log records to a bounded output."""
+    """Hands log records to a bounded output, with their time and VM."""
 
-    def __init__(self, output: BoundedOutput) -> None:
+    def __init__(self, output: BoundedOutput, vm_name: str) -> None:
         super().__init__()
         self._output = output
+        self._vm = json.dumps(vm_name)
 
     def emit(self, record: Any) -> None:
-        """Keep the line of a record."""
-        self._output.add(record.message)
+        """Keep the line of a record: a JSON object, begun with its time."""
+        at_utc = record.time.isoformat(timespec='milliseconds')
+        rest = record.message.removeprefix('{')
+        self._output.add(f'{{"at_utc": "{at_utc}", "vm": {self._vm}, {rest}')
 
 
-def open_bounded_log(reactor: Any) -> BoundedOutput:
+def open_bounded_log(reactor: Any, vm_name: str) -> BoundedOutput:
     """Write log lines to standard output from now on."""
     output = BoundedOutput(sys.stdout.fileno())
-    BoundedHandler(output).push_application()
+    BoundedHandler(output, vm_name).push_application()
+    globalLogPublisher.addObserver(log_framework_failure)
     reactor.callLater(FLUSH_S, _flush, reactor, output)
     reactor.addSystemEventTrigger('after', 'shutdown', output.flush)
     return output
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -73,12 +73,11 @@
         'configuration, evacuations or backend servers changed',
     )
     BACKEND_CHANGED = (5102, Level.INFO, 'a backend server changed its state')
+    BROKER_CHANGED = (5105, Level.INFO, 'another VM gives out permits')
     SNAPSHOT_FAILED = (5103, Level.WARNING, 'no snapshot came from a peer')
     DATAGRAM_NOT_SENT = (5104, Level.WARNING, 'a datagram was not sent')
-    CALL_SENT = (6001, Level.INFO, 'a call went to a backend server')
     CALL_ENDED = (6002, Level.INFO, 'a call ended with an answer')
     CALL_FAILED = (6003, Level.INFO, 'a call ended without an answer')
-    SEND_FAILED = (6004, Level.INFO, 'a send ended without an answer')
     CALL_CANCELLED = (6005, Level.INFO, 'the caller went away')
     LINES_LEFT_OUT = (6006, Level.WARNING, 'log lines were left out')
     SETTINGS_RELOADED = (1008, Level.INFO, 'the settings file was read again')
@@ -108,7 +107,7 @@
         format_string='{record.message}',
     )
     output.push_application()
-    globalLogPublisher.addObserver(_log_framework_failure)
+    globalLogPublisher.addObserver(log_framework_failure)
 
 
 def log_failure(failure: Failure) -> None:
@@ -133,7 +132,8 @@
     _logger.log(level, '{}', json.dumps(line, default=str))
 
 
-def _log_framework_failure(framework_event: dict[str, Any]) -> None:
+def log_framework_failure(framework_event: dict[str, Any]) -> None:
+    """Log a failure that the event loop caught."""
     failure = framework_event.get('log_failure')
     if failure is not None:
         log_failure(failure)
--- a/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
@@ -31,8 +31,8 @@
         sys.stderr.write(f'turmericpost: {read.unwrap_err()}\n')
         return EXIT_USAGE
     settings = read.unwrap()
-    open_bounded_log(reactor)
-    log_event(LogEvent.PROCESS_STARTED, vm=settings.name)
+    open_bounded_log(reactor, settings.name)
+    log_event(LogEvent.PROCESS_STARTED, command='platform')
     store = StoreClient(reactor, settings.store)
     node = GatewayNode(reactor, settings, store, PlatformDialect())
     started = node.start()
