Send a late idempotent call to a second server

Change: when a send takes longer than 1.9 times what was expected of that server at that moment, the call asks for a second server. The ask counts against the repeat budget of the pool, stands behind all calls that have no place yet, and never queues, so it stops by itself under load; the loser is closed at once.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -316,6 +316,7 @@
             grant_id,
             use.slowness_percent,
             now_s - use.reported_s,
+            self._queue(ask.pool).usual_s(ask) * use.work_factor(now_s),
         )
         self._granted_asks[ask.ask_id] = granted
         return granted
--- a/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
@@ -85,13 +85,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """The call may be sent to the backend server now."""
+    """The call may be sent to the backend server now.
+
+    ``expected_s`` is how long it should take there.
+    """
 
     ask: Ask
     backend: Backend
     grant_id: str
     slowness_percent: float
     report_age_s: float
+    expected_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/waiting_asks.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/waiting_asks.py
@@ -13,7 +13,11 @@
 
 
 class ServiceQueue:
-    """Waiting asks: those still on time first, then by rank and age."""
+    """Waiting asks: those still on time first, then by rank and age.
+
+    Asks that may not wait, of calls that have a place elsewhere or are
+    already at work, come after all that have none.
+    """
 
     def __init__(self) -> None:
         self._asks: dict[str, Ask] = {}
@@ -80,6 +84,7 @@
         yield from sorted(
             self._asks.values(),
             key=lambda ask: (
+                not ask.may_wait,
                 self.is_late(ask, now_s),
                 ask.rank,
                 ask.arrived_s,
--- a/packages/turmericpost-core/src/turmericpost_core/outcome/next_step.py
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/next_step.py
@@ -44,6 +44,12 @@
         """Whether another send counts as sent again."""
         return self.arrived > 0
 
+    def may_hedge(self, running: int) -> bool:
+        """Whether a second send may start beside those still running."""
+        if not self.is_idempotent or self.sends + running >= MAX_SENDS:
+            return False
+        return self.may_have_run + running < self.max_attempts
+
     @property
     def may_send(self) -> bool:
         """Whether the call may go to another backend server at all."""
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -131,14 +131,8 @@
 
 
 def _permit(fields: Any) -> PermitMessage:
-    ask_id, grant_id, backend, slowness_percent, report_age_s = fields
-    return PermitMessage(
-        ask_id,
-        grant_id,
-        unpack_backend(backend),
-        slowness_percent,
-        report_age_s,
-    )
+    ask_id, grant_id, backend, *plain = fields
+    return PermitMessage(ask_id, grant_id, unpack_backend(backend), *plain)
 
 
 def _denial(fields: Any) -> DenialMessage:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
@@ -97,6 +97,7 @@
     backend: Backend
     slowness_percent: float
     report_age_s: float
+    expected_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/broker_desk.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/broker_desk.py
@@ -154,6 +154,7 @@
             granted.backend,
             granted.slowness_percent,
             min(granted.report_age_s, OLDEST_REPORT_S),
+            granted.expected_s,
         )
         if granted.ask.asker != self._own_name:
             self._reply(granted.ask.ask_id, message)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from typing import Protocol as Interface
 
@@ -15,6 +15,7 @@
 )
 from turmericpost.gateway.permit_desk import Permit, Wish
 from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.gateway.timer import OneTimer
 from turmericpost.gateway.trail import Trail
 from turmericpost.http1.client import BackendConnection
 from turmericpost.http1.exchange import Exchange
@@ -24,6 +25,7 @@
 )
 from turmericpost_core.fleet.operator_config import OperatorRoute
 from turmericpost_core.grants.permits import AskEnd
+from turmericpost_core.outcome.hedging import hedge_after_s
 from turmericpost_core.outcome.next_step import (
     NextStep,
     SendEnd,
@@ -125,14 +127,15 @@
             max_waiting_bytes=WAITING_BODY_BYTES,
         )
         self._ask_id: str | None = None
-        self._attempt: Attempt | None = None
+        self._attempts: list[Attempt] = []
         self._tried: set[str] = set()
         self._tour: Iterator[Stop] = iter(())
         self._fallback: HeldAnswer | None = None
         self._last_cause = RefusalReason.CONNECTION_LOST
         self._is_streaming = False
         self._is_over = False
-        self._timer: Any = None
+        self._timer = OneTimer(host.reactor)
+        self._hedge_timer = OneTimer(host.reactor)
 
     @property
     def call_id(self) -> str:
@@ -142,10 +145,7 @@
     def begin(self) -> None:
         """Take the body, and look for a backend server once it is here."""
         left_s = self.facts.deadline_at_s - self._now_s() - DEADLINE_MARGIN_S
-        self._timer = self._host.reactor.callLater(
-            max(left_s, 0),
-            self._deadline_passed,
-        )
+        self._timer.start(max(left_s, 0), self._deadline_passed)
         self._exchange.accept_body(self)
 
     def body_received(self, body: bytes) -> None:
@@ -175,13 +175,13 @@
 
     def pause_answer(self) -> None:
         """Stop reading the answer: the caller reads slowly."""
-        if self._attempt is not None:
-            self._attempt.pause_answer()
+        for attempt in self._attempts:
+            attempt.pause_answer()
 
     def resume_answer(self) -> None:
         """Go on reading the answer."""
-        if self._attempt is not None:
-            self._attempt.resume_answer()
+        for attempt in self._attempts:
+            attempt.resume_answer()
 
     def asked(self, ask_id: str) -> None:
         """Keep the id of an ask that has no answer yet."""
@@ -199,15 +199,20 @@
             report_ms=round(permit.report_age_s * _MS_PER_S),
         )
         attempt = Attempt(self, permit, self._host.tools)
-        self._attempt = attempt
+        self._attempts.append(attempt)
         is_repeatable = self.facts.route.is_idempotent
         idle_s = IDLE_REUSE_S if is_repeatable else UNREPEATABLE_IDLE_REUSE_S
         attempt.start(idle_s)
+        if len(self._attempts) == 1:
+            late_s = hedge_after_s(permit.expected_s)
+            self._hedge_timer.start(late_s, self._hedge)
 
     def denied(self, end: AskEnd, retry_after_s: float) -> None:
         """Try another failure domain, or refuse."""
         self._ask_id = None
         self.trail.add('denied', end=end.value, retry_after_s=retry_after_s)
+        if self._attempts:
+            return
         if end in {AskEnd.REPEAT_BUDGET, AskEnd.DEADLINE}:
             self._fail(retry_after_s)
         else:
@@ -243,10 +248,14 @@
             self._fallback = answer
             self._repeat(attempt, 'server-error')
         else:
+            self._stop()
             self._deliver(answer)
 
     def attempt_streams(self, attempt: Attempt, answer: HeldAnswer) -> bool:
         """Begin to pass on an answer too long to hold."""
+        self._attempts.remove(attempt)
+        self._stop()
+        self._attempts.append(attempt)
         self._is_streaming = True
         headers = end_to_end(answer.headers, _FRAMING)
         status = answer.facts.status
@@ -275,7 +284,7 @@
         step = next_step(self.record, end)
         if step is NextStep.REPEAT and self._body.is_replayable:
             self._repeat(attempt, cause)
-        else:
+        elif not self._attempts:
             self._host.send_failed(cause)
             self._fail(0)
 
@@ -291,12 +300,13 @@
         return self._host.tools.clock.monotonic_s()
 
     def _seek_once(self) -> None:
-        idle = self._ask_id is None and self._attempt is None
+        idle = self._ask_id is None and not self._attempts
         if idle and not self._is_over and not self.record.sends:
             self._seek()
 
     def _seek(self) -> None:
         """Ask the nearest failure domain first."""
+        self._take_back_ask()
         self._tour = domain_tour(self._host.domains(self.facts))
         self._ask_next(0)
 
@@ -331,7 +341,27 @@
     def _repeat(self, attempt: Attempt, cause: str) -> None:
         self._host.send_failed(cause)
         self._tried.add(attempt.permit.backend.backend_id)
-        self._seek()
+        if not self._attempts:
+            self._seek()
+
+    def _hedge(self) -> None:
+        """Ask for a second server: the first has turned slow or silent."""
+        running = len(self._attempts)
+        if self._is_streaming or self._ask_id is not None:
+            return
+        if not (running and self.record.may_hedge(running)):
+            return
+        if self._body.is_complete and self._body.is_replayable:
+            domain = self._attempts[0].permit.backend.failure_domain
+            busy = {one.permit.backend.backend_id for one in self._attempts}
+            stop = Stop(domain, may_wait=False, may_leave=False)
+            self.trail.add('late', domain=domain)
+            wish = replace(
+                self._wish(stop),
+                is_repeat=True,
+                excluded=frozenset(self._tried | busy),
+            )
+            self._host.ask(wish, self)
 
     def _ended(self, attempt: Attempt, end: SendEnd, cause: str = '') -> None:
         self.trail.add(
@@ -340,7 +370,8 @@
             end=end.value,
             cause=cause,
         )
-        self._attempt = None
+        if attempt in self._attempts:
+            self._attempts.remove(attempt)
         self._body.detach()
         self.record = record_send(self.record, end)
 
@@ -365,10 +396,9 @@
             self._refuse(Refusal(reason, retry_after_s))
 
     def _deadline_passed(self) -> None:
-        was_sent = False
-        if self._attempt:
-            was_sent = self._attempt.sent_s is not None
-            self._attempt.give_up()
+        was_sent = any(one.sent_s is not None for one in self._attempts)
+        for attempt in self._attempts:
+            attempt.give_up()
         self._stop()
         if self._is_streaming:
             self._close()
@@ -382,12 +412,15 @@
 
     def _stop(self) -> None:
         """Take back what is under way."""
+        self._take_back_ask()
+        for attempt in self._attempts:
+            attempt.cancel()
+        self._attempts.clear()
+
+    def _take_back_ask(self) -> None:
         if self._ask_id is not None:
             self._host.cancel_ask(self._ask_id)
             self._ask_id = None
-        if self._attempt is not None:
-            self._attempt.cancel()
-            self._attempt = None
 
     def _refuse(self, refusal: Refusal) -> None:
         if self._is_over:
@@ -398,5 +431,5 @@
 
     def _close(self) -> None:
         self._is_over = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        self._timer.stop()
+        self._hedge_timer.stop()
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_desk.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_desk.py
@@ -57,6 +57,7 @@
     backend: Backend
     slowness_percent: float
     report_age_s: float
+    expected_s: float
 
     @property
     def broker(self) -> str:
@@ -171,6 +172,7 @@
             message.backend,
             message.slowness_percent,
             message.report_age_s,
+            message.expected_s,
         )
         pending = self._pending.pop(message.ask_id, None)
         if pending is not None:
