Ask for permits in a module of its own; end sooner within the grace time

Change: Seeker asks for the permits of a call; a leaving VM turns new calls away after 0.49 and ends after 0.92 of the grace time.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from dataclasses import dataclass, replace
 from typing import Any
 from typing import Protocol as Interface
 
@@ -13,8 +11,9 @@
     IDLE_REUSE_S,
     UNREPEATABLE_IDLE_REUSE_S,
 )
-from turmericpost.gateway.permit_desk import Permit, Wish
+from turmericpost.gateway.permit_desk import Permit
 from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.gateway.seeking import CallFacts, PermitSource, Seeker
 from turmericpost.gateway.timer import OneTimer
 from turmericpost.gateway.trail import Trail
 from turmericpost.http1.client import BackendConnection
@@ -23,7 +22,6 @@
     CONTENT_LENGTH,
     end_to_end,
 )
-from turmericpost_core.fleet.operator_config import OperatorRoute
 from turmericpost_core.grants.permits import AskEnd
 from turmericpost_core.outcome.hedging import hedge_after_s
 from turmericpost_core.outcome.next_step import (
@@ -35,7 +33,6 @@
     record_send,
 )
 from turmericpost_core.outcome.reasons import RefusalReason
-from turmericpost_core.routing.domain_tour import Stop, domain_tour
 
 KEPT_BODY_BYTES = 65536
 """Size up to which a request is held until it is whole before it is sent,
@@ -51,19 +48,7 @@
 _FRAMING = frozenset((CONTENT_LENGTH,))
 
 
-@dataclass(frozen=True, slots=True)
-class CallFacts:
-    """What is known of a call when it arrives; monotonic seconds."""
-
-    call_id: str
-    route: OperatorRoute
-    service: str
-    arrived_s: float
-    objective_at_s: float
-    deadline_at_s: float
-
-
-class CallHost(Interface):
+class CallHost(PermitSource, Interface):
     """The VM as a call sees it."""
 
     @property
@@ -74,15 +59,6 @@
     def reactor(self) -> Any:
         """Source of timers."""
 
-    def domains(self, facts: CallFacts) -> tuple[str, ...]:
-        """Return the failure domains to try, the nearest first."""
-
-    def ask(self, wish: Wish, call: GatewayCall) -> None:
-        """Ask for a permit."""
-
-    def cancel_ask(self, ask_id: str) -> None:
-        """Take back an ask."""
-
     def onward_head(
         self,
         exchange: Exchange,
@@ -126,10 +102,8 @@
             max_kept_bytes=KEPT_BODY_BYTES,
             max_waiting_bytes=WAITING_BODY_BYTES,
         )
-        self._ask_id: str | None = None
+        self._seeker = Seeker(host, facts, self.trail, self)
         self._attempts: list[Attempt] = []
-        self._tried: set[str] = set()
-        self._tour: Iterator[Stop] = iter(())
         self._fallback: HeldAnswer | None = None
         self._last_cause = RefusalReason.CONNECTION_LOST
         self._is_streaming = False
@@ -185,11 +159,11 @@
 
     def asked(self, ask_id: str) -> None:
         """Keep the id of an ask that has no answer yet."""
-        self._ask_id = ask_id
+        self._seeker.asked(ask_id)
 
     def permitted(self, permit: Permit) -> None:
         """Send the call."""
-        self._ask_id = None
+        self._seeker.answered()
         self.trail.add(
             'permit',
             permit=permit.grant_id,
@@ -209,14 +183,14 @@
 
     def denied(self, end: AskEnd, retry_after_s: float) -> None:
         """Try another failure domain, or refuse."""
-        self._ask_id = None
+        self._seeker.answered()
         self.trail.add('denied', end=end.value, retry_after_s=retry_after_s)
         if self._attempts:
             return
-        if end in {AskEnd.REPEAT_BUDGET, AskEnd.DEADLINE}:
+        is_final = end in {AskEnd.REPEAT_BUDGET, AskEnd.DEADLINE}
+        is_repeat = self.record.is_repeat
+        if is_final or not self._seeker.ask_next(is_repeat=is_repeat):
             self._fail(retry_after_s)
-        else:
-            self._ask_next(retry_after_s)
 
     def write_request(
         self,
@@ -300,68 +274,31 @@
         return self._host.tools.clock.monotonic_s()
 
     def _seek_once(self) -> None:
-        idle = self._ask_id is None and not self._attempts
+        idle = not (self._seeker.is_asking or self._attempts)
         if idle and not self._is_over and not self.record.sends:
             self._seek()
 
     def _seek(self) -> None:
-        """Ask the nearest failure domain first."""
-        self._take_back_ask()
-        self._tour = domain_tour(self._host.domains(self.facts))
-        self._ask_next(0)
-
-    def _ask_next(self, retry_after_s: float) -> None:
-        stop = next(self._tour, None)
-        if stop is None:
-            self._fail(retry_after_s)
-        else:
-            self.trail.add(
-                'ask',
-                domain=stop.failure_domain,
-                may_wait=stop.may_wait,
-                is_repeat=self.record.is_repeat,
-            )
-            self._host.ask(self._wish(stop), self)
-
-    def _wish(self, stop: Stop) -> Wish:
-        facts = self.facts
-        return Wish(
-            service=facts.service,
-            failure_domain=stop.failure_domain,
-            rank=facts.route.rank,
-            arrived_s=facts.arrived_s,
-            objective_at_s=facts.objective_at_s,
-            deadline_at_s=facts.deadline_at_s,
-            is_repeat=self.record.is_repeat,
-            may_wait=stop.may_wait,
-            may_leave=stop.may_leave,
-            excluded=frozenset(self._tried),
-        )
+        if not self._seeker.seek(is_repeat=self.record.is_repeat):
+            self._fail(0)
 
     def _repeat(self, attempt: Attempt, cause: str) -> None:
         self._host.send_failed(cause)
-        self._tried.add(attempt.permit.backend.backend_id)
+        self._seeker.tried.add(attempt.permit.backend.backend_id)
         if not self._attempts:
             self._seek()
 
     def _hedge(self) -> None:
         """Ask for a second server: the first has turned slow or silent."""
         running = len(self._attempts)
-        if self._is_streaming or self._ask_id is not None:
-            return
-        if not (running and self.record.may_hedge(running)):
+        is_busy = self._is_streaming or self._seeker.is_asking
+        if is_busy or not (running and self.record.may_hedge(running)):
             return
         if self._body.is_complete and self._body.is_replayable:
-            domain = self._attempts[0].permit.backend.failure_domain
-            busy = {one.permit.backend.backend_id for one in self._attempts}
-            stop = Stop(domain, may_wait=False, may_leave=False)
-            self.trail.add('late', domain=domain)
-            wish = replace(
-                self._wish(stop),
-                is_repeat=True,
-                excluded=frozenset(self._tried | busy),
-            )
-            self._host.ask(wish, self)
+            permits = [attempt.permit for attempt in self._attempts]
+            domain = permits[0].backend.failure_domain
+            busy = frozenset(one.backend.backend_id for one in permits)
+            self._seeker.ask_second(domain, busy)
 
     def _ended(self, attempt: Attempt, end: SendEnd, cause: str = '') -> None:
         self.trail.add(
@@ -412,16 +349,11 @@
 
     def _stop(self) -> None:
         """Take back what is under way."""
-        self._take_back_ask()
+        self._seeker.take_back()
         for attempt in self._attempts:
             attempt.cancel()
         self._attempts.clear()
 
-    def _take_back_ask(self) -> None:
-        if self._ask_id is not None:
-            self._host.cancel_ask(self._ask_id)
-            self._ask_id = None
-
     def _refuse(self, refusal: Refusal) -> None:
         if self._is_over:
             return
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -9,11 +9,12 @@
 from xxhash import xxh32_intdigest
 
 from turmericpost.gateway.attempt import AttemptTools
-from turmericpost.gateway.call import CallFacts, GatewayCall
+from turmericpost.gateway.call import GatewayCall
 from turmericpost.gateway.dialect import CallHead
 from turmericpost.gateway.gateway_metrics import GatewayMetrics
-from turmericpost.gateway.permit_desk import PermitDesk, Wish
+from turmericpost.gateway.permit_desk import PermitDesk, PermitTaker, Wish
 from turmericpost.gateway.refusals import Refusal, refuse
+from turmericpost.gateway.seeking import CallFacts
 from turmericpost.gateway.settings import GatewaySettings
 from turmericpost.http1.exchange import Exchange
 from turmericpost.observe.events import LogEvent, log_event
@@ -85,9 +86,9 @@
             self._random.random(),
         )
 
-    def ask(self, wish: Wish, call: GatewayCall) -> None:
+    def ask(self, wish: Wish, taker: PermitTaker) -> None:
         """Ask for a permit."""
-        self._desk.ask(wish, call)
+        self._desk.ask(wish, taker)
 
     def cancel_ask(self, ask_id: str) -> None:
         """Take back an ask."""
--- a/packages/turmericpost-entry/src/turmericpost/gateway/leaving.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/leaving.py
@@ -4,15 +4,19 @@
 
 from dataclasses import dataclass
 
-SERVE_ON_SHARE = 0.55
+SERVE_ON_SHARE = 0.49
 """Share of the grace time for which new calls are still served.
 
 Callers keep an answer of one second up to three times as long, which is
-half of the six seconds of the first deployments.
+half of the six seconds of the first deployments; a call that comes later
+might not end within the grace time.
 """
 
-LAST_SHARE = 0.95
-"""Share of the grace time after which the process ends in any case."""
+LAST_SHARE = 0.92
+"""Share of the grace time after which the process ends in any case.
+
+The rest, half a second of six, is for the interpreter to end on a slow VM.
+"""
 
 QUIET_S = 0.3
 """Time without calls in flight after which a process that takes no new ones
