--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -42,9 +42,15 @@
 
 
 class Broker:
-    """Permits for the backend servers of one failure domain."""
+    """Permits for the backend servers of one failure domain.
+
+    ``view_share`` is the part of the domain's VMs that this one hears. In a
+    split view every part has a broker of its own, so each takes only its
+    part of what a cold server bears and of the slack for repeats.
+    """
 
     def __init__(self, own_name: str, bounds: RepeatBounds) -> None:
+        self.view_share = float(0)
         self._own_name = own_name
         self._bounds = bounds
         self._uses: dict[str, BackendUse] = {}
@@ -295,7 +301,7 @@
         use: BackendUse,
         now_s: float,
     ) -> Granted | Denied:
-        if ask.is_repeat and not self._budget(ask.pool, now_s).take(now_s):
+        if ask.is_repeat and not self._take_repeat(ask.pool, now_s):
             return Denied(ask, AskEnd.REPEAT_BUDGET)
         if not ask.is_repeat:
             self._budget(ask.pool, now_s).record_call(now_s)
@@ -321,6 +327,9 @@
         self._granted_asks[ask.ask_id] = granted
         return granted
 
+    def _take_repeat(self, pool: Pool, now_s: float) -> bool:
+        return self._budget(pool, now_s).take(now_s, self.view_share)
+
     def _probes(self, pool: Pool, now_s: float) -> Iterator[ProbeWanted]:
         """Yield probes of servers with room whose report is old."""
         stale = [
@@ -335,7 +344,7 @@
 
     def _with_room(self, pool: Pool, now_s: float) -> Iterator[BackendUse]:
         spec = self._services.get(pool[0])
-        cold_per_s = 1 if spec is None else spec.cold_per_s
+        cold_per_s = 1 if spec is None else spec.cold_per_s * self.view_share
         for use in self._by_pool.get(pool, ()):
             if use.has_room(now_s, cold_per_s):
                 yield use
--- a/packages/turmericpost-core/src/turmericpost_core/grants/repeat_budget.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/repeat_budget.py
@@ -26,18 +26,18 @@
         """Count a first send."""
         self._calls_s.append(now_s)
 
-    def take(self, now_s: float) -> bool:
-        """Count a repeat if it is within the budget."""
+    def take(self, now_s: float, share: float) -> bool:
+        """Count a repeat if it is within this VM's share of the budget."""
         self._forget(now_s)
-        if len(self._repeats_s) + 1 > self._allowed(now_s):
+        if len(self._repeats_s) + 1 > self._allowed(now_s, share):
             return False
         self._repeats_s.append(now_s)
         return True
 
-    def _allowed(self, now_s: float) -> float:
+    def _allowed(self, now_s: float, share: float) -> float:
         bounds = self._bounds
         grown = min((now_s - self._begun_s) / bounds.window_s, 1)
-        slack = bounds.slack * bounds.slack_share * grown
+        slack = bounds.slack * bounds.slack_share * grown * share
         return _SAFETY * (bounds.ratio * len(self._calls_s) + slack)
 
     def _forget(self, now_s: float) -> None:
--- a/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
@@ -18,6 +18,12 @@
 DIGEST_VALID_S = 4.0
 """Age up to which the digest of a domain holds: four digests in a row."""
 
+SETTLED_S = 2.0
+"""Time after its start in which a VM does not yet know who else is there.
+
+It finds others within two tries to join, a second apart.
+"""
+
 REMEMBERED_S = 120.0
 """Time that a silent VM is still called, so that a healed cut is noticed."""
 
@@ -149,6 +155,17 @@
         )
         return ((self.own, self.own_standing), *heard)
 
+    def heard_share(self, age_s: float, now_s: float) -> float:
+        """Return the part of the own domain's VMs that are heard.
+
+        VMs that fell silent count until they are forgotten. A VM that has
+        just started, ``age_s`` ago, knows nothing and takes no part.
+        """
+        if age_s < SETTLED_S:
+            return 0
+        known = len(self.called(self.own.failure_domain)) + 1
+        return len(self.members(now_s)) / known
+
     def in_domain(
         self,
         failure_domain: str,
--- /dev/null
+++ b/packages/turmericpost-core/tests/grants/history.py
@@ -0,0 +1,268 @@
+"""Seeded histories of brokers in disagreeing views, on a clock of their own.
+
+Three VMs share the servers of one pool. At times each believes that another
+VM is the broker; brokers are killed and begin anew; servers are cold, turn
+cold again, shed, lose answers, or can't be reached; probes get lost.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+
+from tests.grants.samples import SPEC, ask, backend
+from turmericpost_core.grants.broker import Broker
+from turmericpost_core.grants.limits import RepeatBounds
+from turmericpost_core.grants.permits import (
+    Decision,
+    Denied,
+    Finish,
+    Granted,
+    LoadFigures,
+    ProbeWanted,
+    SendOutcome,
+)
+from turmericpost_core.grants.view_share import ViewShare
+from turmericpost_core.membership.domain_view import SETTLED_S
+from turmericpost_core.outcome.next_step import (
+    NextStep,
+    SendEnd,
+    SendRecord,
+    next_step,
+    record_send,
+)
+
+VMS = 3
+NAMES = ('vm0', 'vm1', 'vm2')
+SERVERS = 2
+STEP_S = 0.02
+STEPS = 150
+BEGUN_S = 100
+COLD_PER_S = SPEC.cold_per_s
+COLD_OVER = 1.5
+COLD_SLACK = 5.0
+RATIO = 0.2
+SLACK = 16.0
+WINDOW_S = 10.0
+BOUNDS = RepeatBounds(RATIO, SLACK, WINDOW_S, 0.5 / 4)
+
+ARRIVAL = 0.5
+IDEMPOTENT = 0.5
+PROBE_LOST = 0.1
+SPLIT = 0.03
+KILL = 0.005
+COLD_AGAIN = 0.01
+
+SHED_WEIGHT = 0.1
+
+_ENDS = (
+    (SendEnd.ANSWERED, SendOutcome.SUCCESS, 0.7),
+    (SendEnd.LOST, SendOutcome.FAILURE, 0.12),
+    (SendEnd.NOT_RUN, SendOutcome.SHED, 0),
+    (SendEnd.NOT_SENT, SendOutcome.FAILURE, 0.08),
+)
+
+
+@dataclass
+class Call:
+    number: int
+    vm: int
+    record: SendRecord
+    runs: int = 0
+    ended_as: NextStep | None = None
+
+
+@dataclass
+class Outcome:
+    """What a history did, for the checks."""
+
+    arrivals_s: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list),
+    )
+    cold_until_s: dict[str, float] = field(default_factory=dict)
+    repeats_s: list[float] = field(default_factory=list)
+    calls_s: list[float] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
+
+
+class History:
+    """One history from one seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.outcome = Outcome()
+        self._random = Random(seed)
+        self._now_s = BEGUN_S
+        self._restarts = 0
+        self._shares: dict[int, ViewShare] = {}
+        self._begun_s: dict[int, float] = {}
+        self._brokers = [self._new_broker(vm) for vm in range(VMS)]
+        self._parts = [frozenset(range(VMS))] * VMS
+        self._at_work: list[tuple[float, int, Granted, Call]] = []
+        self._asked: dict[str, Call] = {}
+        for number in range(SERVERS):
+            cold_s = self._random.choice((0, 1, 5))
+            name = f'b{number}'
+            self.outcome.cold_until_s[name] = self._now_s + cold_s
+
+    def play(self) -> Outcome:
+        for _ in range(STEPS):
+            self._now_s += STEP_S
+            self._disturb()
+            self._share_out()
+            if self._chance(ARRIVAL):
+                self._arrive()
+            self._finish_due()
+            for vm, broker in enumerate(self._brokers):
+                self._carry_out(vm, broker.decide(self._now_s))
+        return self.outcome
+
+    def _chance(self, share: float) -> bool:
+        return self._random.uniform(0, 1) < share
+
+    def _disturb(self) -> None:
+        if self._chance(SPLIT):
+            self._split()
+        if self._chance(KILL):
+            vm = self._random.randrange(VMS)
+            self._brokers[vm] = self._new_broker(vm)
+        if self._chance(COLD_AGAIN):
+            name = f'b{self._random.randrange(SERVERS)}'
+            warm = self._now_s >= self.outcome.cold_until_s[name]
+            if warm and not self.outcome.arrivals_s[name]:
+                self.outcome.cold_until_s[name] = self._now_s + 3
+
+    def _split(self) -> None:
+        """Divide the VMs into parts that do not hear each other."""
+        places = [self._random.randrange(2) for _ in range(VMS)]
+        for vm, place in enumerate(places):
+            self._parts[vm] = frozenset(
+                other for other in range(VMS) if places[other] == place
+            )
+
+    def _share_out(self) -> None:
+        """Give each broker the share that its VM would."""
+        for vm, broker in enumerate(self._brokers):
+            age_s = self._now_s - self._begun_s[vm]
+            heard = len(self._parts[vm]) / VMS if age_s >= SETTLED_S else 0
+            broker.view_share = self._shares[vm].record(heard, self._now_s)
+
+    def _new_broker(self, vm: int) -> Broker:
+        self._restarts += 1
+        name = f'{NAMES[vm]}.{self._restarts}'
+        made = Broker(name, BOUNDS)
+        self._shares[vm] = ViewShare()
+        self._begun_s[vm] = self._now_s
+        if self._now_s == BEGUN_S:
+            self._begun_s[vm] -= SETTLED_S
+        made.install_services({SPEC.name: SPEC})
+        servers = [backend(number) for number in range(SERVERS)]
+        made.install_backends(servers, self._now_s)
+        return made
+
+    def _arrive(self) -> None:
+        is_idempotent = self._chance(IDEMPOTENT)
+        call = Call(
+            len(self.outcome.calls),
+            self._random.randrange(VMS),
+            SendRecord(is_idempotent, 2),
+        )
+        self.outcome.calls.append(call)
+        self.outcome.calls_s.append(self._now_s)
+        self._ask(call)
+
+    def _ask(self, call: Call) -> None:
+        broker_vm = min(self._parts[call.vm])
+        asker = f'vm{call.vm}'
+        wish = ask(
+            0,
+            self._now_s,
+            ask_id='.'.join((asker, str(call.number), str(call.record.sends))),
+            asker=asker,
+            is_repeat=call.record.is_repeat,
+        )
+        self._asked[wish.ask_id] = call
+        broker = self._brokers[broker_vm]
+        self._carry_out(broker_vm, broker.ask(wish, self._now_s))
+
+    def _carry_out(self, vm: int, decisions: tuple[Decision, ...]) -> None:
+        for decision in decisions:
+            if isinstance(decision, ProbeWanted):
+                self._probe(vm, decision.backend.backend_id)
+            elif isinstance(decision, Granted):
+                self._send(vm, decision)
+            elif isinstance(decision, Denied):
+                self._asked.pop(decision.ask.ask_id, None)
+
+    def _probe(self, vm: int, backend_id: str) -> None:
+        broker = self._brokers[vm]
+        if self._chance(PROBE_LOST):
+            broker.probe_failed(backend_id, self._now_s)
+            return
+        more = broker.probed(
+            backend_id,
+            self._figures(backend_id, is_probe=True),
+            self._now_s,
+            is_healthy=True,
+        )
+        self._carry_out(vm, more)
+
+    def _send(self, vm: int, granted: Granted) -> None:
+        call = self._asked.pop(granted.ask.ask_id, None)
+        if call is None:
+            return
+        end_s = self._now_s + self._random.choice((0.05, 0.2, 0.6))
+        self._at_work.append((end_s, vm, granted, call))
+        if call.record.is_repeat:
+            self.outcome.repeats_s.append(self._now_s)
+        self.outcome.arrivals_s[granted.backend.backend_id].append(self._now_s)
+
+    def _finish_due(self) -> None:
+        due = [one for one in self._at_work if one[0] <= self._now_s]
+        self._at_work = [one for one in self._at_work if one[0] > self._now_s]
+        for _, vm, granted, call in due:
+            self._finish(vm, granted, call)
+
+    def _finish(self, vm: int, granted: Granted, call: Call) -> None:
+        weights = [weight or SHED_WEIGHT for _, _, weight in _ENDS]
+        end, outcome, _ = self._random.choices(_ENDS, weights)[0]
+        ran = end in {SendEnd.ANSWERED, SendEnd.LOST}
+        call.runs += ran
+        figures = None
+        if end is SendEnd.ANSWERED:
+            name = granted.backend.backend_id
+            figures = self._figures(name, is_probe=False)
+        more = self._brokers[vm].finished(
+            granted.grant_id,
+            Finish(outcome, 0.2, figures),
+            self._now_s,
+        )
+        self._carry_out(vm, more)
+        call.record = record_send(call.record, end)
+        step = next_step(call.record, end, 200)
+        if step is NextStep.REPEAT:
+            self._ask(call)
+        else:
+            call.ended_as = step
+
+    def _figures(self, backend_id: str, *, is_probe: bool) -> LoadFigures:
+        left_s = self.outcome.cold_until_s[backend_id] - self._now_s
+        slowness = self._random.choice((100, 100, 100, 400))
+        return LoadFigures(
+            0,
+            0,
+            3,
+            slowness,
+            max(left_s, 0) if is_probe else None,
+        )
+
+
+def most_within(times_s: list[float], window_s: float) -> int:
+    """Return the largest number of times in any window of a length."""
+    most = 0
+    first = 0
+    for last, time_s in enumerate(times_s):
+        while time_s - times_s[first] > window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/packages/turmericpost-core/tests/grants/samples.py
+++ b/packages/turmericpost-core/tests/grants/samples.py
@@ -48,6 +48,7 @@
 
 def broker(backends: int, now_s: float = 0, name: str = 'vm0.1') -> Broker:
     made = Broker(name, BOUNDS)
+    made.view_share = 1
     made.install_services({SPEC.name: SPEC})
     made.install_backends([backend(one) for one in range(backends)], now_s)
     return made
--- a/packages/turmericpost-core/tests/membership/test_domain_view.py
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -166,3 +166,16 @@
         },
         home_regions=homes,
     )
+
+
+class HeardShareTest(unittest.TestCase):
+    def test_parts_of_a_split_view_add_up_to_one(self) -> None:
+        made = view()
+        for name in ('a', 'b', 'c'):
+            made.heard(vm(name), VmStanding.READY, 0)
+        self.assertEqual(made.heard_share(9, 0), 1)
+        made.heard(vm('a'), VmStanding.READY, 5)
+        self.assertEqual(made.heard_share(9, 5), 1 / 2)
+
+    def test_vm_that_has_just_started_takes_no_part(self) -> None:
+        self.assertEqual(view().heard_share(0.5, 0), 0)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -26,6 +26,7 @@
 from turmericpost.gateway.settings import Address, GatewaySettings
 from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.reactor_clock import ReactorClock
+from turmericpost_core.grants.view_share import ViewShare
 from turmericpost_core.membership.domain_view import (
     DomainView,
     Vm,
@@ -67,6 +68,8 @@
         self._loops: list[LoopingCall] = []
         self._leave: LeavePlan | None = None
         self._usable_ids: frozenset[str] = frozenset()
+        self._started_s = self.clock.monotonic_s()
+        self._view_share = ViewShare()
         self.view = DomainView(self._own_vm())
         self._build_fleet()
         self._build_calls()
@@ -304,12 +307,17 @@
         self.learning.vms_lost(lost)
 
     def _sweep(self) -> None:
+        now_s = self.clock.monotonic_s()
+        age_s = now_s - self._started_s
+        broker = self.path.broker_desk.broker
+        heard = self.view.heard_share(age_s, now_s)
+        broker.view_share = self._view_share.record(heard, now_s)
         self._caller_port.check_time()
         self._endpoint_port.check_time()
         self.path.broker_desk.sweep()
         self.path.beliefs.log_changes()
         self.calls.log_left_out()
-        if self.state.directory.expire(self.clock.monotonic_s()):
+        if self.state.directory.expire(now_s):
             self._knowledge_changed('expiry')
 
     def _turns_away(self) -> bool:
--- /dev/null
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -0,0 +1,283 @@
+"""Decoding of the platform's settings, records and header fields."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from turmericpost.fleet.message_codec import decode_message, encode_message
+from turmericpost.fleet.messages import (
+    AskMessage,
+    Cancelled,
+    DenialMessage,
+    Digest,
+    FinishMessage,
+    Heartbeat,
+    Knowledge,
+    KnownVms,
+    PermitMessage,
+    Queued,
+)
+from turmericpost.fleet.snapshot_codec import (
+    decode_snapshot,
+    encode_snapshot,
+)
+from turmericpost.http1.heads import RequestHead, ResponseHead
+from turmericpost.platform.call_fields import PlatformDialect
+from turmericpost.platform.operator_records import decode_operator_record
+from turmericpost.platform.settings_file import (
+    decode_settings,
+    read_settings_file,
+)
+from turmericpost.platform.store_wire import KeyedRecord
+from turmericpost_core.fleet.backends import Backend
+from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.grants.permits import (
+    AskEnd,
+    Finish,
+    LoadFigures,
+    SendOutcome,
+)
+from turmericpost_core.membership.domain_view import Vm, VmStanding
+
+_SETTINGS = """NodeName=edge-1
+Ip=10.1.0.34
+Zone=nasr
+Region=cairo
+Zones.nasr=cairo
+Zones.smouha=alex
+Listen.Front=10.1.0.34:8548
+Listen.Ready=10.1.0.34:8542
+Listen.Directory=10.1.0.34:8546
+InternalPortRange=7540,7555
+Seeds=10.1.0.34:8544,10.2.0.34:8544
+Bounds.DrainMs=2000
+Bounds.GraceS=6
+Bounds.ConfigMs=2000
+Bounds.ttl_max_s=5
+Bounds.RetryBudgetRatio=0.2
+Bounds.RetryBudgetSlack=64
+Bounds.BudgetWindowS=10
+Platform.Address=10.200.1.7:8541
+Some.NewField=7
+"""
+_CONFIG = {
+    'Version': 7,
+    'Routes': [
+        {
+            'Name': 'r1',
+            'Host': 'A.example',
+            'PathPrefix': '/a/',
+            'RouteType': 'non_idempotent',
+            'TimeoutMs': 1200,
+            'SloLatencyMs': 600,
+            'Priority': 2,
+            'TrafficSplit': [{'Service': 'press', 'Weight': 90}],
+            'MaxAttempts': 2,
+            'AllowedRegions': ['cairo'],
+        },
+    ],
+    'Services': [
+        {
+            'Name': 'press',
+            'HealthCheckPath': '/health',
+            'MaxConnections': 260,
+            'WarmupS': 3.0,
+            'WarmupPerS': 2.9,
+        },
+    ],
+    'Limits': {
+        'MaxHeaderBytes': 16384,
+        'MaxBodyBytes': 67108864,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+}
+_VM = Vm('vm1', '10.0.0.1', 7540, '10.0.0.1:80', 'nasr', 'cairo', 5)
+_BACKEND = Backend(
+    'b1',
+    'press',
+    '10.0.0.9',
+    80,
+    'nasr',
+    3,
+    is_draining=False,
+    cold_left_s=0.5,
+    started_ms=9,
+)
+_KNOWLEDGE = Knowledge(0.5, 3, (7, 1), 9)
+
+
+def config_record(**changes: object) -> KeyedRecord:
+    text = json.dumps({**_CONFIG, **changes}).encode()
+    return KeyedRecord(0, 'config', text)
+
+
+class SettingsFileTest(unittest.TestCase):
+    def test_fields_are_decoded_and_unknown_ones_ignored(self) -> None:
+        settings = decode_settings('f', _SETTINGS).unwrap()
+        self.assertEqual(settings.domain_regions['smouha'], 'alex')
+        self.assertEqual(settings.callers, ('10.1.0.34', 8548))
+        self.assertEqual(settings.peer_port, 7540)
+        self.assertEqual(settings.seed_hosts, ('10.1.0.34', '10.2.0.34'))
+        self.assertEqual(settings.promises.drain_s, 2)
+
+    def test_each_missing_or_wrong_field_is_one_clear_line(self) -> None:
+        for line in _SETTINGS.splitlines():
+            key = line.partition('=')[0]
+            if key.startswith(('Zones.', 'Seeds', 'Some.')):
+                continue
+            with self.subTest(key):
+                text = _SETTINGS.replace(f'{line}\n', '')
+                error = str(decode_settings('f', text).unwrap_err())
+                self.assertIn(key, error)
+                self.assertNotIn('\n', error)
+        wrong = _SETTINGS.replace('DrainMs=2000', 'DrainMs=soon')
+        error = str(decode_settings('f', wrong).unwrap_err())
+        self.assertIn('Bounds.DrainMs', error)
+
+    def test_file_that_can_not_be_read_is_an_error(self) -> None:
+        self.assertTrue(read_settings_file('/nowhere/at/all').is_err())
+
+
+class OperatorRecordTest(unittest.TestCase):
+    def test_configuration(self) -> None:
+        config = decode_operator_record(config_record()).unwrap().config
+        (route,) = config.routes
+        self.assertEqual(route.host, 'a.example')
+        self.assertFalse(route.is_idempotent)
+        self.assertEqual(route.timeout_s, 1.2)
+        self.assertEqual(route.home_regions, {'cairo'})
+        self.assertEqual(config.services['press'].cold_per_s, 2.9)
+
+    def test_invalid_configurations_are_refused_with_a_reason(self) -> None:
+        route = _CONFIG['Routes'][0]
+        for changes in (
+            {'Version': 'seven'},
+            {'Routes': None},
+            {'Limits': {}},
+            {'Services': []},
+            {'Routes': [{**route, 'RouteType': 'maybe'}]},
+        ):
+            with self.subTest(changes):
+                decoded = decode_operator_record(config_record(**changes))
+                self.assertTrue(decoded.unwrap_err())
+        cut = KeyedRecord(0, 'config', b'{"Version": 7, "Rou')
+        self.assertTrue(decode_operator_record(cut).is_err())
+        foreign = KeyedRecord(0, 'other', b'{}')
+        self.assertTrue(decode_operator_record(foreign).is_err())
+
+    def test_snapshot_carries_the_configuration_whole(self) -> None:
+        change = decode_operator_record(config_record()).unwrap()
+        state = FleetState()
+        state.fold_operator([change], 1)
+        snapshot = state.snapshot()
+        again = decode_snapshot(encode_snapshot(snapshot)).unwrap()
+        self.assertEqual(again, snapshot)
+        self.assertTrue(decode_snapshot(b'\xc1').is_err())
+
+
+class HeaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.dialect = PlatformDialect()
+
+    def test_call_head(self) -> None:
+        head = RequestHead(
+            'GET',
+            b'/a/b?c=d',
+            [
+                (b'host', b'A.example:8548'),
+                (b'x-request-id', b'id1'),
+                (b'x-deadline-ms', b'1500'),
+            ],
+            keeps_alive=True,
+        )
+        call = self.dialect.read_call(head)
+        self.assertEqual(call.host, 'a.example')
+        self.assertEqual(call.path, '/a/b')
+        self.assertEqual(call.time_left_s, 1.5)
+        wire = self.dialect.onward_head(head, 'b1', 0.9)
+        self.assertIn(b'x-deadline-ms: 900', wire)
+        self.assertEqual(wire.count(b'x-deadline-ms'), 1)
+        self.assertIn(b'GET /a/b?c=d HTTP/1.1', wire)
+
+    def test_load_report_of_a_probe_says_warm(self) -> None:
+        fields = [(b'x-instance-id', b'b1'), (b'x-server-load', b'1,2,3,400')]
+        facts = self.dialect.read_answer(ResponseHead(200, fields, True))
+        self.assertEqual(facts.figures, LoadFigures(1, 2, 3, 400, 0))
+        cold = [*fields, (b'x-warmup-ms', b'1500')]
+        facts = self.dialect.read_answer(ResponseHead(200, cold, True))
+        self.assertEqual(facts.figures.cold_left_s, 1.5)
+
+    def test_load_report_of_an_answer_says_nothing_of_warmth(self) -> None:
+        fields = [(b'x-server-load', b'1,0,3')]
+        facts = self.dialect.read_answer(ResponseHead(200, fields, True))
+        self.assertEqual(facts.figures, LoadFigures(1, 0, 3, 100, None))
+
+    def test_unreadable_load_is_no_load(self) -> None:
+        for text in (b'', b'1', b'a,b,c', b'1,2'):
+            fields = [(b'x-server-load', text)]
+            facts = self.dialect.read_answer(ResponseHead(200, fields, True))
+            self.assertIsNone(facts.figures)
+
+    def test_not_run_is_the_servers_word(self) -> None:
+        plain = self.dialect.read_answer(ResponseHead(503, [], True))
+        self.assertFalse(plain.not_run)
+        other = self.dialect.read_answer(ResponseHead(421, [], True))
+        self.assertTrue(other.not_run and other.is_other_backend)
+        said = [(b'x-not-executed', b'1')]
+        shed = self.dialect.read_answer(ResponseHead(503, said, True))
+        self.assertTrue(shed.not_run)
+
+
+class DatagramTest(unittest.TestCase):
+    def test_every_message_comes_back_as_it_went(self) -> None:
+        for message in (
+            Heartbeat(_VM, VmStanding.READY, _KNOWLEDGE, {'g': 'b1'}, {}),
+            KnownVms((_VM,)),
+            Digest(
+                'nasr',
+                0,
+                ((_VM, VmStanding.LEAVING),),
+                _KNOWLEDGE,
+                'vm1',
+                {'r1': 2.5},
+            ),
+            AskMessage(
+                'vm1.5.1',
+                'press',
+                'nasr',
+                1,
+                0.1,
+                0.5,
+                1.5,
+                is_repeat=False,
+                may_wait=True,
+                may_leave=False,
+                excluded=('b2',),
+            ),
+            Queued('vm1.5.1'),
+            PermitMessage('vm1.5.1', 'vm2.5/1', _BACKEND, 100, 0.01, 0.2),
+            DenialMessage('vm1.5.1', AskEnd.ELSEWHERE, 0.3),
+            Cancelled('vm1.5.1'),
+            FinishMessage('vm2.5/1', Finish(SendOutcome.SHED)),
+            FinishMessage(
+                'vm2.5/1',
+                Finish(SendOutcome.SUCCESS, 0.2, LoadFigures(1, 0, 3)),
+            ),
+        ):
+            with self.subTest(type(message).__name__):
+                wire = encode_message(message)
+                self.assertEqual(decode_message(wire).unwrap(), message)
+
+    @given(st.binary(max_size=200))
+    def test_foreign_datagrams_are_errors_not_exceptions(
+        self,
+        wire: bytes,
+    ) -> None:
+        decoded = decode_message(wire)
+        if decoded.is_err():
+            self.assertTrue(decoded.unwrap_err().detail)
