--- a/packages/turmericpost-core/tests/grants/history.py
+++ b/packages/turmericpost-core/tests/grants/history.py
@@ -127,7 +127,8 @@
             vm = self._random.randrange(VMS)
             self._brokers[vm] = self._new_broker(vm)
         if self._chance(COLD_AGAIN):
-            name = f'b{self._random.randrange(SERVERS)}'
+            number = self._random.randrange(SERVERS)
+            name = f'b{number}'
             warm = self._now_s >= self.outcome.cold_until_s[name]
             if warm and not self.outcome.arrivals_s[name]:
                 self.outcome.cold_until_s[name] = self._now_s + 3
@@ -149,7 +150,9 @@
 
     def _new_broker(self, vm: int) -> Broker:
         self._restarts += 1
-        name = f'{NAMES[vm]}.{self._restarts}'
+        own_name = NAMES[vm]
+        start = self._restarts
+        name = f'{own_name}.{start}'
         made = Broker(name, BOUNDS)
         self._shares[vm] = ViewShare()
         self._begun_s[vm] = self._now_s
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/request_story.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/request_story.py
@@ -5,8 +5,13 @@
 import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from datetime import datetime, timedelta
 from typing import Any
 
+NEAR = timedelta(seconds=10)
+"""Time before a request from which changes that bear on it are shown: the
+window of the repeat budget, the longest that a decision looks back."""
+
 _BACKEND_CHANGED = 'backend-changed'
 _BROKER_CHANGED = 'broker-changed'
 _KNOWLEDGE_CHANGED = 'knowledge-changed'
@@ -100,16 +105,28 @@
     """Yield the changes of servers and brokers of the calls' trails."""
     trails = [step for call in calls for step in call.get('trail', ())]
     backends = {step['backend'] for step in trails if 'backend' in step}
+    domains = {step['domain'] for step in trails if 'domain' in step}
     services = {call.get('service') for call in calls}
     last = _time(calls[-1]) if calls else ''
+    first = _earlier(last)
     for event in events:
         named = {event.get('backend'), *event.get('lost', ())}
-        is_broker = event.get('name') == _BROKER_CHANGED
-        bears = is_broker and event.get('service') in services
-        if _time(event) <= last and (bears or named & backends):
+        bears = bool(named & backends)
+        if event.get('domain') in domains:
+            bears = event.get('service') in services
+        if bears and first <= _time(event) <= last:
             yield event
 
 
+def _earlier(at_utc: str) -> str:
+    """Return the time from which changes are shown; all if unreadable."""
+    try:
+        last = datetime.fromisoformat(at_utc)
+    except ValueError:
+        return ''
+    return (last - NEAR).isoformat(timespec='milliseconds')
+
+
 def _time(event: dict[str, Any]) -> str:
     return str(event.get('at_utc', ''))
 
