Check drains and versions over histories of reading in turn

Change: five VMs that read the store in turn and tell each other, with VMs frozen, cut, turned away and the store down; 1,000 histories. Two checks are shown to fail on a turn that never passes on and on a VM that takes whatever it hears.

--- /dev/null
+++ b/packages/turmericpost-core/tests/fleet/test_learning_history.py
@@ -0,0 +1,55 @@
+"""Drains in force in time and no reverts, and checks that can fail."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from tests.fleet.learning_history import LearningHistory
+from turmericpost_core.fleet.state import FleetSnapshot, FleetState
+
+HISTORIES = 1000
+BROKEN_HISTORIES = 60
+
+
+def first_only(
+    ranked: tuple[str, ...],
+    own_name: str,
+    *_: object,
+) -> bool:
+    """A turn that never passes on."""
+    return ranked[0] == own_name
+
+
+def take_any(state: FleetState, snapshot: FleetSnapshot) -> bool:
+    """A VM that takes what it hears last."""
+    state.config = snapshot.config
+    return True
+
+
+class LearningHistoryTest(unittest.TestCase):
+    def test_drains_are_known_in_time_and_nothing_reverts(self) -> None:
+        drains = 0
+        for seed in range(HISTORIES):
+            history = LearningHistory(seed).play()
+            drains += len(history.drains_s)
+            self.assertEqual(history.late_drains(), [], seed)
+            self.assertFalse(history.reverted(), seed)
+        self.assertGreater(drains, HISTORIES)
+
+    def test_drain_check_sees_a_turn_that_never_passes_on(self) -> None:
+        place = 'tests.fleet.learning_history.is_reader'
+        with patch(place, first_only):
+            late = [
+                LearningHistory(seed).play().late_drains()
+                for seed in range(BROKEN_HISTORIES)
+            ]
+        self.assertTrue(any(late))
+
+    def test_revert_check_sees_a_vm_that_takes_anything(self) -> None:
+        with patch.object(FleetState, 'adopt', take_any):
+            reverted = [
+                LearningHistory(seed).play().reverted()
+                for seed in range(BROKEN_HISTORIES)
+            ]
+        self.assertTrue(any(reverted))
