Name the reason of a store call without an answer

Cause: the demo's last line said 'log-unreachable' with an empty detail: a call that was not sent or not answered carried its kind only. Change: the kind is the detail too. Measured: 18 tests of the client pass; a field of a log line, nothing else. Conclusion: no error is logged without its reason.

--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -244,7 +244,7 @@
 
 
 def _lane_error(error: LaneError) -> StoreError:
-    return StoreError(StoreErrorKind(error.value))
+    return StoreError(StoreErrorKind(error.value), error.value)
 
 
 def _registrations(read: KeyedRead) -> Registrations:
