Bound heartbeats in large domains and repeats while a broker is slow

Change: a VM sends at most 48 heartbeats a second, in a domain of 20 each 0.42 s and of 35 each 0.73 s; all receivers without permits get the same bytes; fields are packed without copies. What a reader learns goes with the round as a push if it fits in a datagram, with the digest that tells whether it fits what the receiver has; receivers do not repeat it. An update names the configuration in force at the teller, so an evacuation is never taken without the version before it. Large answers are bounded by bytes under way, not by streams. A broker that does not lead its pool has no slack and the least cold pace; a call whose permit was taken back is counted no more; a permit of a broker that was given up is not used.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -41,9 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetUpdate:
-    """What one VM tells another that has come less far."""
+    """What one VM tells another that has come less far.
+
+    ``config_version`` is the configuration that the teller has in force.
+    """
 
     operator_offset: int
+    config_version: int | None
     config: ConfigUpdate | None
     evacuated: frozenset[str]
     registry: RegistryUpdate
@@ -107,6 +111,7 @@
         """Return what a VM lacks that has come so far."""
         return FleetUpdate(
             self.operator_offset,
+            self.versions.config,
             self._configs.update_since(known.config),
             self.evacuated,
             self.directory.update_since(known.backends),
@@ -149,6 +154,8 @@
             if config is None:
                 return False
             self._install(config)
+        if (self.versions.config or 0) < (update.config_version or 0):
+            return False
         self.operator_offset = update.operator_offset
         self.evacuated = update.evacuated
         return True
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.operator_config import ServiceSpec
@@ -46,11 +46,14 @@
 
     ``view_share`` is the part of the domain's VMs that this one hears. In a
     split view every part has a broker of its own, so each takes only its
-    part of what a cold server bears and of the slack for repeats.
+    part of what a cold server bears and of the slack for repeats. Of both a
+    broker takes nothing for a pool that another VM ``leads``: calls come to
+    it because that one was silent for a moment, and has its own share.
     """
 
     def __init__(self, own_name: str, bounds: RepeatBounds) -> None:
         self.view_share = float(0)
+        self.leads: Callable[[Pool], bool] = _always
         self._own_name = own_name
         self._bounds = bounds
         self._uses: dict[str, BackendUse] = {}
@@ -115,6 +118,8 @@
         if granted is not None and granted.grant_id in self._grants:
             grant = self._grants.pop(granted.grant_id)
             self._release(grant, SendOutcome.UNUSED, grant.granted_s)
+            if not granted.ask.is_repeat:
+                self._budget(granted.ask.pool, grant.granted_s).unrecord_call()
 
     def decide(
         self,
@@ -328,7 +333,10 @@
         return granted
 
     def _take_repeat(self, pool: Pool, now_s: float) -> bool:
-        return self._budget(pool, now_s).take(now_s, self.view_share)
+        return self._budget(pool, now_s).take(now_s, self._share(pool))
+
+    def _share(self, pool: Pool) -> float:
+        return self.view_share if self.leads(pool) else float(0)
 
     def _probes(self, pool: Pool, now_s: float) -> Iterator[ProbeWanted]:
         """Yield probes of servers with room whose report is old."""
@@ -344,7 +352,7 @@
 
     def _with_room(self, pool: Pool, now_s: float) -> Iterator[BackendUse]:
         spec = self._services.get(pool[0])
-        cold_per_s = 1 if spec is None else spec.cold_per_s * self.view_share
+        cold_per_s = 1 if spec is None else spec.cold_per_s * self._share(pool)
         for use in self._by_pool.get(pool, ()):
             if use.has_room(now_s, cold_per_s):
                 yield use
@@ -401,6 +409,10 @@
         return budget
 
 
+def _always(_pool_asked: Pool) -> bool:
+    return True
+
+
 def _pool(use: BackendUse) -> Pool:
     return use.backend.service, use.backend.failure_domain
 
--- a/packages/turmericpost-core/src/turmericpost_core/grants/repeat_budget.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/repeat_budget.py
@@ -26,6 +26,14 @@
         """Count a first send."""
         self._calls_s.append(now_s)
 
+    def unrecord_call(self) -> None:
+        """Take back the last first send: its permit was not used.
+
+        A caller that turned to another broker sends its call there.
+        """
+        if self._calls_s:
+            self._calls_s.pop()
+
     def take(self, now_s: float, share: float) -> bool:
         """Count a repeat if it is within this VM's share of the budget."""
         self._forget(now_s)
--- a/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
@@ -10,11 +10,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from turmericpost_core.membership.beat_pace import lost_after_s
 from turmericpost_core.membership.ring import owners
 
-LOST_AFTER_S = 1.1
-"""Silence after which a VM counts as lost: four heartbeats in a row."""
-
 DIGEST_VALID_S = 4.0
 """Age up to which the digest of a domain holds: four digests in a row."""
 
@@ -76,6 +74,16 @@
         self._digests: dict[str, DomainDigest] = {}
         self._live: frozenset[str] = frozenset()
 
+    @property
+    def vms_called(self) -> int:
+        """How many VMs of the own domain heartbeats go to, this one too."""
+        return len(self.called(self.own.failure_domain)) + 1
+
+    @property
+    def lost_after_s(self) -> float:
+        """Silence after which a VM of the own domain counts as lost."""
+        return lost_after_s(self.vms_called)
+
     def heard(self, vm: Vm, standing: VmStanding, now_s: float) -> bool:
         """Take a heartbeat; return whether the VM or its start is new."""
         if vm.name == self.own.name:
@@ -95,7 +103,7 @@
             if vm.name == self.own.name:
                 continue
             if known is None or known.vm.started_ms < vm.started_ms:
-                silent_s = now_s - 2 * LOST_AFTER_S
+                silent_s = now_s - 2 * self.lost_after_s
                 self._heard[vm.name] = _Heard(
                     vm,
                     VmStanding.STARTING,
@@ -109,12 +117,17 @@
         if known is None or digest.made_s > known.made_s:
             self._digests[digest.failure_domain] = digest
 
+    def is_live(self, name: str) -> bool:
+        """Return whether a VM was live at the last review."""
+        return name in self._live
+
     def review(self, now_s: float) -> tuple[frozenset[str], frozenset[str]]:
         """Return the names that became live and those that were lost."""
+        patience_s = self.lost_after_s
         live = frozenset(
             name
             for name, heard in self._heard.items()
-            if now_s - heard.heard_s <= LOST_AFTER_S
+            if now_s - heard.heard_s <= patience_s
             and heard.vm.failure_domain == self.own.failure_domain
         )
         gained, lost = live - self._live, self._live - live
@@ -147,11 +160,12 @@
     def members(self, now_s: float) -> tuple[tuple[Vm, VmStanding], ...]:
         """Return the live VMs of the own domain with their standing."""
         domain = self.own.failure_domain
+        patience_s = self.lost_after_s
         heard = tuple(
             (one.vm, one.standing)
             for one in self._heard.values()
             if one.vm.failure_domain == domain
-            and now_s - one.heard_s <= LOST_AFTER_S
+            and now_s - one.heard_s <= patience_s
         )
         return ((self.own, self.own_standing), *heard)
 
@@ -163,8 +177,7 @@
         """
         if age_s < SETTLED_S:
             return 0
-        known = len(self.called(self.own.failure_domain)) + 1
-        return len(self.members(now_s)) / known
+        return len(self.members(now_s)) / self.vms_called
 
     def in_domain(
         self,
--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_turns.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_turns.py
@@ -17,18 +17,18 @@
     stale_after_s: float
 
 
-PERIOD_SHARE = 0.36
+PERIOD_SHARE = 0.3
 """Period of reading as a share of the drain bound.
 
-Two reads, one of them lost, fit into the bound.
+Three reads, one of them lost, fit into the bound.
 """
 
-STALE_SHARE = 0.58
+STALE_SHARE = 0.57
 """Age at which the next VM begins to read, as a share of the drain bound.
 
-A period, a heartbeat of 0.25 s, a read and 0.1 s of lateness, with the
-shortest bound known, 2 s. What is left of it, 0.8 s, is the take-over: a
-look, a read, a heartbeat and a fetch.
+A period, a heartbeat of 0.25 s, a read and 0.2 s of lateness, with the
+shortest bound known, 2 s. What is left of it, 0.86 s, is the take-over: a
+look, a read, a heartbeat and a fetch, or a period of the next reader.
 """
 
 SLOWEST_RETRY_S = 2.0
--- a/packages/turmericpost-core/tests/fleet/test_state.py
+++ b/packages/turmericpost-core/tests/fleet/test_state.py
@@ -9,6 +9,7 @@
 
 from tests.grants.samples import SPEC, backend
 from turmericpost_core.fleet.backends import Registration
+from turmericpost_core.fleet.directory import Adoption
 from turmericpost_core.fleet.operator_config import (
     CallerLimits,
     OperatorConfig,
@@ -75,6 +76,24 @@
         self.assertTrue(state.resync_operator([], 9))
         self.assertEqual(state.evacuated, frozenset())
 
+    def test_evacuation_is_not_taken_without_the_configuration_before_it(
+        self,
+    ) -> None:
+        """A push that was lost told the configuration."""
+        teller, hearer = FleetState(), FleetState()
+        for state in (teller, hearer):
+            state.fold_operator([OperatorChange(0, config(1))], 1)
+        teller.fold_operator([OperatorChange(1, config(2))], 2)
+        told = teller.versions
+        out = OperatorChange(2, evacuated_domain='nasr')
+        teller.fold_operator([out], 3)
+        push = teller.update_since(told)
+        self.assertIs(hearer.adopt(push), Adoption.DIFFERS)
+        self.assertEqual(hearer.operator_offset, 1)
+        hearer.adopt(teller.update_since(hearer.versions))
+        self.assertEqual(hearer.versions, teller.versions)
+        self.assertEqual(hearer.evacuated, {'nasr'})
+
     @given(st.permutations(tuple(range(6))))
     def test_version_never_falls_whatever_comes_first(
         self,
--- a/packages/turmericpost-core/tests/membership/test_domain_view.py
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -9,9 +9,12 @@
     allowed_regions,
     choose_vms,
 )
+from turmericpost_core.membership.beat_pace import (
+    beat_pause_s,
+    lost_after_s,
+)
 from turmericpost_core.membership.domain_view import (
     DIGEST_VALID_S,
-    LOST_AFTER_S,
     DomainDigest,
     DomainView,
     Vm,
@@ -41,11 +44,28 @@
         made = view()
         made.heard(vm('a'), VmStanding.READY, 0)
         self.assertEqual(made.review(0)[0], {'a'})
-        self.assertEqual(made.review(LOST_AFTER_S + 0.1)[1], {'a'})
-        self.assertEqual(made.ready('nasr', LOST_AFTER_S + 0.1), (made.own,))
+        self.assertEqual(made.review(lost_after_s(2) + 0.1)[1], {'a'})
+        self.assertEqual(made.ready('nasr', lost_after_s(2) + 0.1), (made.own,))
         made.heard(vm('a'), VmStanding.READY, 5)
         self.assertEqual(made.review(5)[0], {'a'})
 
+    def test_heartbeats_a_second_stay_the_same_in_large_domains(self) -> None:
+        """Pattern: 35 and 77 VMs in a failure domain, each telling all."""
+        for vms in (20, 35, 60):
+            heard_per_s = vms / beat_pause_s(vms)
+            self.assertAlmostEqual(heard_per_s, 48, msg=vms)
+        self.assertLess(2 / beat_pause_s(2), 48)
+
+    def test_vm_of_a_large_domain_has_time_for_four_heartbeats(self) -> None:
+        made = view()
+        names = [str(number) for number in range(34)]
+        for name in names:
+            made.heard(vm(name), VmStanding.READY, 0)
+        made.review(0)
+        four_s = 4 * beat_pause_s(35)
+        self.assertEqual(made.review(four_s)[1], frozenset())
+        self.assertEqual(made.review(four_s * 2)[1], set(names))
+
     def test_leaving_vm_is_in_no_answer_and_ranks_last(self) -> None:
         made = view()
         made.heard(vm('a'), VmStanding.LEAVING, 0)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/learning.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/learning.py
@@ -8,6 +8,7 @@
 from turmericpost.fleet.messages import Knowledge
 from turmericpost.fleet.store import FleetStore
 from turmericpost.fleet.store_reader import ReaderListeners, StoreReader
+from turmericpost.fleet.update_codec import decode_update
 from turmericpost.fleet.update_stream import UpdateFetches
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.clock import Clock
@@ -55,7 +56,13 @@
         self._view = view
         self._pace = pace
         self._changed = changed
-        self._fetches = UpdateFetches(reactor, self._adopt, self._follow_hint)
+        self._fetches = UpdateFetches(
+            reactor,
+            self._adopt,
+            self._follow_hint,
+            self._ask_again,
+        )
+        self._fetching: dict[str, Knowledge] = {}
         self._hint: tuple[Vm, Knowledge] | None = None
         self._read_ages_s: dict[str, tuple[float, float]] = {}
         self._ahead_from_s: dict[str, float] = {}
@@ -99,10 +106,26 @@
         if is_near or now_s - since_s > FOREIGN_PATIENCE_S:
             self._fetch(vm, knowledge)
 
+    def pushed(self, teller: str, wire: bytes) -> None:
+        """Take a small update; one that does not fit is left alone.
+
+        The teller's heartbeat, which comes with it, leads to a fetch then.
+        """
+        decoded = decode_update(wire)
+        if decoded.is_err():
+            detail = decoded.unwrap_err().detail
+            log_event(LogEvent.UPDATE_FAILED, vm=teller, detail=detail)
+            return
+        before = self.state.versions
+        self.state.adopt(decoded.unwrap())
+        if self.state.versions != before:
+            self._changed(teller)
+
     def vms_lost(self, names: Iterable[str]) -> None:
         """Forget how new the reads of lost VMs were."""
         for name in names:
             self._read_ages_s.pop(name, None)
+            self._fetching.pop(name, None)
 
     def _is_ahead(self, knowledge: Knowledge) -> bool:
         state = self.state
@@ -120,9 +143,16 @@
             )
 
     def _fetch(self, vm: Vm, knowledge: Knowledge) -> None:
+        self._fetching[vm.name] = knowledge
         if not self._fetches.fetch(vm, self.state.versions):
             self._hint = (vm, knowledge)
 
+    def _ask_again(self, vm: Vm) -> None:
+        """Fetch from a VM that was busy if it is still ahead."""
+        knowledge = self._fetching.get(vm.name)
+        if knowledge is not None and self._is_ahead(knowledge):
+            self._fetch(vm, knowledge)
+
     def _follow_hint(self) -> None:
         """Fetch what was heard of while other fetches were under way."""
         if self._hint is None:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
 from result import Err, Ok, Result
 
+from turmericpost.fleet.field_reading import shallow_fields
 from turmericpost.fleet.messages import (
     AskMessage,
     Cancelled,
@@ -21,6 +22,7 @@
     Message,
     PermitMessage,
     Queued,
+    UpdatePush,
 )
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.permits import (
@@ -42,10 +44,7 @@
 def encode_message(message: Message) -> bytes:
     """Return the bytes of a message."""
     kind = _KINDS.index(type(message))
-    packed: bytes = msgpack.packb(
-        [kind, astuple(message)],
-        default=_packable,
-    )
+    packed: bytes = msgpack.packb([kind, message], default=_packable)
     return packed
 
 
@@ -68,8 +67,8 @@
 
 
 def _unpack(wire: bytes) -> Message:
-    kind, fields = msgpack.unpackb(wire, strict_map_key=False)
-    return _DECODERS[kind](fields)
+    kind, packed = msgpack.unpackb(wire, strict_map_key=False)
+    return _DECODERS[kind](packed)
 
 
 def _packable(unpacked: object) -> object:
@@ -77,7 +76,7 @@
         return unpacked.value
     if isinstance(unpacked, frozenset):
         return tuple(unpacked)
-    raise TypeError(type(unpacked).__name__)
+    return shallow_fields(unpacked)
 
 
 def _knowledge(fields: Any) -> Knowledge:
@@ -160,6 +159,7 @@
     DenialMessage,
     Cancelled,
     FinishMessage,
+    UpdatePush,
 )
 _DECODERS: tuple[Callable[[Any], Message], ...] = (
     _heartbeat,
@@ -171,4 +171,5 @@
     _denial,
     lambda fields: Cancelled(*fields),
     _finish,
+    lambda fields: UpdatePush(*fields),
 )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
@@ -64,6 +64,14 @@
     demand: Mapping[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class UpdatePush:
+    """A small update, in the form of an update stream."""
+
+    teller: str
+    wire: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class AskMessage:
     """A call wants a permit; durations from when it was sent."""
@@ -128,6 +136,7 @@
     Heartbeat
     | KnownVms
     | Digest
+    | UpdatePush
     | AskMessage
     | Queued
     | PermitMessage
--- a/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
+from typing import TypeAlias
 
 from twisted.internet.protocol import DatagramProtocol
 
@@ -14,9 +15,11 @@
     Knowledge,
     KnownVms,
     Message,
+    UpdatePush,
 )
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.clock import Clock
+from turmericpost_core.membership.beat_pace import beat_pause_s
 from turmericpost_core.membership.demand import SharedDemand
 from turmericpost_core.membership.domain_view import (
     DomainDigest,
@@ -24,8 +27,8 @@
     Vm,
 )
 
-HEARTBEAT_S = 0.25
-"""Time between heartbeats in a failure domain; a loss shows after four."""
+MOST_PUSH_BYTES = 1200
+"""Largest update pushed: one datagram on the networks of the deployments."""
 
 DIGEST_S = 1.0
 """Time between digests to other domains, whose bytes are billed."""
@@ -36,14 +39,19 @@
 REP_SUBJECT = 'digests'
 
 
+Holds: TypeAlias = Mapping[str, Mapping[str, str]]
+"""Backend servers of the permits in use, by broker and permit."""
+
+
 @dataclass(frozen=True)
 class PeerListeners:
     """What the rest of the VM gives to and takes from the peers."""
 
     knowledge: Callable[[], Knowledge]
-    holds_for: Callable[[str], Mapping[str, str]]
+    holds: Callable[[], Holds]
     demand: Callable[[], Mapping[str, float]]
     heard_knowledge: Callable[[Vm, Knowledge], None]
+    pushed: Callable[[str, bytes], None]
     held: Callable[[str, Mapping[str, str]], None]
     live_changed: Callable[[frozenset[str], frozenset[str]], None]
     message: Callable[[str, Message], None]
@@ -66,6 +74,7 @@
         self._regions = regions
         self._listeners = listeners
         self._digested_s = float('-inf')
+        self._beat_s = float('-inf')
         self._malformed: set[str] = set()
 
     def send(self, vm: Vm, message: Message) -> None:
@@ -74,34 +83,53 @@
 
     def send_to(self, host: str, port: int, message: Message) -> None:
         """Send a message to an address."""
-        if self.transport is None:
-            return
-        wire = encode_message(message)
-        self.bytes_sent += len(wire)
-        try:
-            self.transport.write(wire, (host, port))
-        except OSError as error:
-            log_event(
-                LogEvent.DATAGRAM_NOT_SENT,
-                host=host,
-                detail=str(error),
-            )
+        self._send_wire(host, port, encode_message(message))
 
     def hello(self, hosts: tuple[str, ...], port: int) -> None:
         """Tell VMs at some addresses that this one is there."""
         for host in hosts:
             if host != self.view.own.host:
-                self.send_to(host, port, self._heartbeat(''))
+                self.send_to(host, port, self._heartbeat({}))
+
+    def beat_if_due(self) -> float:
+        """Send heartbeats if the last are old enough; return when to look.
+
+        That is the time in seconds until the next ones are due.
+        """
+        now_s = self._clock.monotonic_s()
+        pause_s = beat_pause_s(self.view.vms_called)
+        due_s = self._beat_s + pause_s - now_s
+        if due_s <= 0:
+            self.beat()
+            due_s = pause_s
+        if now_s - self._digested_s >= DIGEST_S:
+            self.send_digests()
+        return due_s
 
     def beat(self) -> None:
-        """Send heartbeats, now and then a digest, and note who is silent."""
+        """Send heartbeats and note who is silent.
+
+        Those that hold no permit of the receiver are all alike.
+        """
+        self._beat_s = self._clock.monotonic_s()
         self._review()
         self.demand.tell(self.view.own.name, self._listeners.demand())
+        holds = self._listeners.holds()
+        plain = encode_message(self._heartbeat({}))
         for vm in self.view.called(self.view.own.failure_domain):
-            self.send(vm, self._heartbeat(vm.name))
-        now_s = self._clock.monotonic_s()
-        if now_s - self._digested_s >= DIGEST_S:
-            self.send_digests()
+            held = holds.get(vm.name)
+            wire = encode_message(self._heartbeat(held)) if held else plain
+            self._send_wire(vm.host, vm.peer_port, wire)
+
+    def push(self, update: bytes) -> bool:
+        """Send an update to all VMs of the domain if it is small."""
+        if len(update) > MOST_PUSH_BYTES:
+            return False
+        own = self.view.own
+        wire = encode_message(UpdatePush(own.name, update))
+        for vm in self.view.called(own.failure_domain):
+            self._send_wire(vm.host, vm.peer_port, wire)
+        return True
 
     def send_digests(self) -> None:
         """Tell one VM of every other domain who is here, if that is our job.
@@ -137,22 +165,40 @@
         if decoded.is_err():
             self._log_malformed(addr[0], decoded.unwrap_err().detail)
             return
-        message = decoded.unwrap()
+        self.received(addr[0], decoded.unwrap())
+
+    def received(self, host: str, message: Message) -> None:
+        """Act on a message that has been read."""
         if isinstance(message, Heartbeat):
             self._heard(message)
         elif isinstance(message, KnownVms):
             self.view.told(message.vms, self._clock.monotonic_s())
         elif isinstance(message, Digest):
             self._digest_received(message)
+        elif isinstance(message, UpdatePush):
+            self._listeners.pushed(message.teller, message.wire)
         else:
-            self._listeners.message(addr[0], message)
+            self._listeners.message(host, message)
+
+    def _send_wire(self, host: str, port: int, wire: bytes) -> None:
+        if self.transport is None:
+            return
+        self.bytes_sent += len(wire)
+        try:
+            self.transport.write(wire, (host, port))
+        except OSError as error:
+            log_event(
+                LogEvent.DATAGRAM_NOT_SENT,
+                host=host,
+                detail=str(error),
+            )
 
-    def _heartbeat(self, receiver: str) -> Heartbeat:
+    def _heartbeat(self, holds: Mapping[str, str]) -> Heartbeat:
         return Heartbeat(
             self.view.own,
             self.view.own_standing,
             self._listeners.knowledge(),
-            self._listeners.holds_for(receiver),
+            holds,
             self._listeners.demand(),
         )
 
@@ -161,8 +207,10 @@
         vm = heartbeat.vm
         if self.view.heard(vm, heartbeat.standing, now_s):
             self.send(vm, KnownVms(self.view.known()))
-            self.send(vm, self._heartbeat(vm.name))
-        self._review()
+            holds = self._listeners.holds().get(vm.name, {})
+            self.send(vm, self._heartbeat(holds))
+        if not self.view.is_live(vm.name):
+            self._review()
         if vm.failure_domain == self.view.own.failure_domain:
             self.demand.tell(vm.name, heartbeat.demand)
         self._listeners.heard_knowledge(vm, heartbeat.knowledge)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_codec.py
@@ -51,6 +51,7 @@
     packed = msgpack.packb(
         [
             update.operator_offset,
+            update.config_version,
             None if config is None else _pack_config(config),
             sorted(update.evacuated),
             [
@@ -91,19 +92,24 @@
 
 
 def _update(fields: Any) -> FleetUpdate:
-    operator_offset, config, evacuated, registry = fields
-    base, version, next_offset, digest, changes = registry
+    operator_offset, config_version, config, evacuated, registry = fields
     return FleetUpdate(
         operator_offset=operator_offset,
+        config_version=config_version,
         config=None if config is None else _unpack_config(config),
         evacuated=frozenset(evacuated),
-        registry=RegistryUpdate(
-            base=None if base is None else _version(base),
-            version=_version(version),
-            next_offset=next_offset,
-            digest=digest,
-            changes=tuple(_unpack_change(change) for change in changes),
-        ),
+        registry=_unpack_registry(registry),
+    )
+
+
+def _unpack_registry(fields: Any) -> RegistryUpdate:
+    base, version, next_offset, digest, changes = fields
+    return RegistryUpdate(
+        base=None if base is None else _version(base),
+        version=_version(version),
+        next_offset=next_offset,
+        digest=digest,
+        changes=tuple(_unpack_change(change) for change in changes),
     )
 
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -1,8 +1,8 @@
 """Updates over short streams: one VM says how far it is, the other answers.
 
-A VM answers a few streams at once and closes the others unanswered. Those
-learn from the first ones, which say at once that they have the news, so a
-narrow link carries an update a few times and not to every VM of a domain.
+A VM sends a bounded number of bytes at once and closes the streams beyond
+them unanswered. Those ask again, the same VM or one that has the news by then,
+so a large update does not fill a narrow link.
 """
 
 from __future__ import annotations
@@ -39,8 +39,11 @@
 CONNECT_S = 0.5
 """Bound on connecting: thirty times the way between regions."""
 
-ANSWERED_AT_ONCE = 8
-"""Streams that a VM answers at a time; three rounds reach 500 VMs."""
+SENT_AT_ONCE_BYTES = 131_072
+"""Bytes of answers under way at a time: a fifth of a second on 5 Mbit/s."""
+
+BUSY_RETRY_S = 0.1
+"""Pause before a VM that was busy is asked again: half of that time."""
 
 FETCHES_AT_ONCE = 2
 """Fetches under way at a time: one may hang at a VM that is cut off."""
@@ -56,7 +59,7 @@
 
     def __init__(self, state: FleetState, reactor: Any) -> None:
         self.reactor = reactor
-        self.answering = 0
+        self.sending_bytes = 0
         self._state = state
         self._encoded: dict[KnownVersions, bytes] = {}
         self._encoded_at = KnownVersions()
@@ -65,6 +68,11 @@
         """Return the protocol of a new stream."""
         return _Answering(self)
 
+    def takes(self, answer_bytes: int) -> bool:
+        """Return whether an answer may be sent now; one always may."""
+        after_bytes = self.sending_bytes + answer_bytes
+        return not self.sending_bytes or after_bytes <= SENT_AT_ONCE_BYTES
+
     def encoded(self, known: KnownVersions) -> bytes:
         """Return the update for a VM, encoded once for all that ask alike."""
         if self._encoded_at != self._state.versions:
@@ -85,10 +93,12 @@
         reactor: Any,
         adopt: Callable[[FleetUpdate, Vm], None],
         ended: Callable[[], None],
+        busy: Callable[[Vm], None],
     ) -> None:
         self._reactor = reactor
         self._adopt = adopt
         self._ended = ended
+        self._busy = busy
         self._under_way: set[str] = set()
 
     def fetch(self, vm: Vm, known: KnownVersions) -> bool:
@@ -113,6 +123,8 @@
             log_event(LogEvent.UPDATE_FAILED, vm=vm.name)
         elif wire:
             self._take(vm, wire)
+        else:
+            self._reactor.callLater(BUSY_RETRY_S, self._busy, vm)
         self._ended()
 
     def _take(self, vm: Vm, wire: bytes) -> None:
@@ -129,7 +141,7 @@
 
     def __init__(self, server: UpdateServer) -> None:
         self._server = server
-        self._is_counted = False
+        self._counted_bytes = 0
         self._request = msgpack.Unpacker(max_buffer_size=MOST_REQUEST_BYTES)
 
     def connectionMade(self) -> None:
@@ -151,8 +163,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Make room for another stream."""
-        if self._is_counted:
-            self._server.answering -= 1
+        self._server.sending_bytes -= self._counted_bytes
         if self._timer.active():
             self._timer.cancel()
 
@@ -166,10 +177,11 @@
         if known.is_err():
             self.transport.abortConnection()
             return
-        if self._server.answering < ANSWERED_AT_ONCE:
-            self._is_counted = True
-            self._server.answering += 1
-            self.transport.write(self._server.encoded(known.unwrap()))
+        wire = self._server.encoded(known.unwrap())
+        if self._server.takes(len(wire)):
+            self._counted_bytes = len(wire)
+            self._server.sending_bytes += len(wire)
+            self.transport.write(wire)
         self.transport.loseConnection()
 
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -11,8 +11,9 @@
 
 from turmericpost.fleet.learning import Learning
 from turmericpost.fleet.messages import Message
-from turmericpost.fleet.peers import HEARTBEAT_S, PeerListeners, Peers
+from turmericpost.fleet.peers import PeerListeners, Peers
 from turmericpost.fleet.store import FleetStore
+from turmericpost.fleet.update_codec import encode_update
 from turmericpost.fleet.update_stream import UpdateServer
 from turmericpost.gateway.assembly import CallPathNeeds, new_call_path
 from turmericpost.gateway.dialect import Dialect
@@ -26,6 +27,7 @@
 from turmericpost.gateway.settings import Address, GatewaySettings
 from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost.reactor_clock import ReactorClock
+from turmericpost_core.fleet.state import KnownVersions
 from turmericpost_core.grants.view_share import ViewShare
 from turmericpost_core.membership.domain_view import (
     DomainView,
@@ -65,9 +67,9 @@
         self._store = store
         self._dialect = dialect
         self._ports: list[Any] = []
-        self._loops: list[LoopingCall] = []
         self._leave: LeavePlan | None = None
         self._usable_ids: frozenset[str] = frozenset()
+        self._told = KnownVersions()
         self._started_s = self.clock.monotonic_s()
         self._view_share = ViewShare()
         self.view = DomainView(self._own_vm())
@@ -85,14 +87,10 @@
             self._open_ports()
         except CannotListenError as error:
             return Err(error)
-        for interval_s, step in (
-            (HEARTBEAT_S, self.peers.beat),
-            (SWEEP_S, self._sweep),
-        ):
-            loop = LoopingCall(step)
-            loop.clock = self._reactor
-            loop.start(interval_s).addErrback(log_failure)
-            self._loops.append(loop)
+        self._sweeping = LoopingCall(self._sweep)
+        self._sweeping.clock = self._reactor
+        self._sweeping.start(SWEEP_S).addErrback(log_failure)
+        Deferred.fromCoroutine(self._keep_beating()).addErrback(log_failure)
         self.learning.reader.start()
         Deferred.fromCoroutine(self._join()).addErrback(log_failure)
         return Ok(None)
@@ -155,9 +153,10 @@
             settings.domain_regions,
             PeerListeners(
                 knowledge=self.learning.knowledge,
-                holds_for=lambda name: self.path.desk.holds_for(name),
+                holds=lambda: self.path.desk.holds(),
                 demand=lambda: self.calls.demand_told(),
                 heard_knowledge=self.learning.heard,
+                pushed=self.learning.pushed,
                 held=lambda name, holds: self.path.broker_desk.held(
                     name, holds
                 ),
@@ -235,6 +234,11 @@
             ),
         )
 
+    async def _keep_beating(self) -> None:
+        while True:
+            pause_s = self.peers.beat_if_due()
+            await deferLater(self._reactor, pause_s)
+
     async def _join(self) -> None:
         """Find other VMs, by the settings first and then by the store."""
         settings = self._settings
@@ -292,7 +296,19 @@
             evacuated=sorted(state.evacuated),
         )
         self._usable_ids = ids
-        self.peers.beat()
+        self._tell_others(source)
+
+    def _tell_others(self, source: str) -> None:
+        """Spread what was read here or came from another domain.
+
+        What a VM of the own domain told it has told to all others.
+        """
+        near = self.view.called(self._settings.failure_domain)
+        if source not in {vm.name for vm in near}:
+            wire = encode_update(self.state.update_since(self._told))
+            self.peers.push(wire)
+            self.peers.beat()
+        self._told = self.state.versions
 
     def _message_received(self, host: str, message: Message) -> None:
         self.path.broker_desk.received(host, message)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_desk.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -90,6 +91,13 @@
         self.sent_s = float(0)
         self.asked: set[str] = set()
 
+    def asks(self, broker_name: str) -> bool:
+        """Return whether a broker is the one asked now.
+
+        The ask was taken back from one that was silent before.
+        """
+        return self.broker is not None and self.broker.name == broker_name
+
 
 class PermitDesk:
     """Asks brokers for permits and gives them back."""
@@ -141,18 +149,19 @@
         else:
             self._broker_desk.finished(permit.grant_id, finish)
 
-    def holds_for(self, vm_name: str) -> Mapping[str, str]:
-        """Return the permits in use that concern a broker.
+    def holds(self) -> Mapping[str, Mapping[str, str]]:
+        """Return the permits in use by the VM that they concern.
 
-        Those are the ones it gave, and those of pools that it has taken
-        over from a broker that is gone.
+        Those are the broker that gave it and, if that is gone, the one that
+        has taken the pool over.
         """
         now_s = self._clock.monotonic_s()
-        return {
-            grant_id: permit.backend.backend_id
-            for grant_id, permit in self._held.items()
-            if vm_name in {permit.broker, self._current(permit, now_s)}
-        }
+        holds: defaultdict[str, dict[str, str]] = defaultdict(dict)
+        for grant_id, permit in self._held.items():
+            current = self._current(permit, now_s)
+            holds[permit.broker][grant_id] = permit.backend.backend_id
+            holds[current][grant_id] = permit.backend.backend_id
+        return holds
 
     def received(self, message: Message) -> None:
         """Act on a message of a broker."""
@@ -174,8 +183,9 @@
             message.report_age_s,
             message.expected_s,
         )
-        pending = self._pending.pop(message.ask_id, None)
-        if pending is not None:
+        pending = self._pending.get(message.ask_id)
+        if pending is not None and pending.asks(permit.broker):
+            self._pending.pop(message.ask_id)
             self._held[permit.grant_id] = permit
             pending.taker.permitted(permit)
         elif permit.grant_id not in self._held:
--- a/packages/turmericpost-entry/tests/fleet/test_update_stream.py
+++ b/packages/turmericpost-entry/tests/fleet/test_update_stream.py
@@ -20,8 +20,9 @@
     encode_update,
 )
 from turmericpost.fleet.update_stream import (
-    ANSWERED_AT_ONCE,
+    BUSY_RETRY_S,
     FETCHES_AT_ONCE,
+    SENT_AT_ONCE_BYTES,
     STREAM_S,
     UpdateFetches,
     UpdateServer,
@@ -159,20 +160,30 @@
         self.assertEqual(learner.versions, self.state.versions)
         self.assertFalse(transport.connected)
 
-    def test_streams_beyond_a_few_are_closed_without_answer(self) -> None:
+    def test_large_answers_are_few_at_a_time(self) -> None:
         """Pattern: all VMs of a large domain ask the one that has news."""
+        whole_bytes = len(self.server.encoded(KnownVersions()))
+        most = SENT_AT_ONCE_BYTES // whole_bytes
         with patch.object(StringTransportWithDisconnection, 'loseConnection'):
-            busy = [self.open() for _ in range(ANSWERED_AT_ONCE)]
-            for protocol, _ in busy:
-                protocol.dataReceived(encode_known(KnownVersions()))
-        protocol, transport = self.open()
-        protocol.dataReceived(encode_known(KnownVersions()))
+            busy = [self.ask() for _ in range(most)]
+        transport = self.ask()
         self.assertEqual(transport.value(), b'')
         self.assertFalse(transport.connected)
-        busy[0][1].loseConnection()
+        busy[0].loseConnection()
+        self.assertNotEqual(self.ask().value(), b'')
+
+    def test_small_answers_go_to_all_at_once(self) -> None:
+        with patch.object(StringTransportWithDisconnection, 'loseConnection'):
+            answered = [self.ask(self.state.versions) for _ in range(99)]
+        self.assertTrue(all(one.value() for one in answered))
+
+    def ask(
+        self,
+        known: KnownVersions | None = None,
+    ) -> StringTransportWithDisconnection:
         protocol, transport = self.open()
-        protocol.dataReceived(encode_known(KnownVersions()))
-        self.assertNotEqual(transport.value(), b'')
+        protocol.dataReceived(encode_known(known or KnownVersions()))
+        return transport
 
     def test_many_that_ask_alike_are_encoded_for_once(self) -> None:
         with patch.object(
@@ -201,11 +212,13 @@
     def setUp(self) -> None:
         self.reactor = MemoryReactorClock()
         self.adopted: list[str] = []
+        self.busy: list[str] = []
         self.ends = 0
         self.fetches = UpdateFetches(
             self.reactor,
             lambda _, teller: self.adopted.append(teller.name),
             self._end,
+            lambda teller: self.busy.append(teller.name),
         )
 
     def _end(self) -> None:
@@ -240,6 +253,8 @@
             self.fetch(1).connectionLost(Failure(ConnectionDone()))
         self.assertFalse(logged.called)
         self.assertEqual(self.ends, 1)
+        self.reactor.advance(BUSY_RETRY_S)
+        self.assertEqual(self.busy, ['vm1'])
 
     def test_fetches_under_way_are_few(self) -> None:
         for number in range(FETCHES_AT_ONCE):
--- a/packages/turmericpost-entry/tests/gateway/test_permit_desk.py
+++ b/packages/turmericpost-entry/tests/gateway/test_permit_desk.py
@@ -116,6 +116,13 @@
         names = {name for name, _ in self.peers.sent}
         self.assertTrue(len(names) > 1 or self.broker_desk.asked)
 
+    def test_permit_of_a_broker_given_up_is_not_used(self) -> None:
+        """It was taken back there, so nobody counts its call."""
+        self.desk.ask(self.wish, self.taker)
+        self._pass(RESEND_S + BROKER_SILENCE_S + 4 * _STEP_S)
+        self.desk.received(self._permit())
+        self.assertEqual(self.taker.permits, [])
+
     def test_broker_that_says_it_queued_the_ask_is_kept(self) -> None:
         self.desk.ask(self.wish, self.taker)
         for _ in range(10):
@@ -127,11 +134,11 @@
         self.desk.ask(self.wish, self.taker)
         self.desk.received(self._permit())
         (permit,) = self.taker.permits
-        holds = self.desk.holds_for(self.first)
-        self.assertEqual(holds, {permit.grant_id: 'b1'})
+        holds = self.desk.holds()
+        self.assertEqual(holds[self.first], {permit.grant_id: 'b1'})
         finish = Finish(SendOutcome.SUCCESS, 0.1)
         self.desk.finish(permit, finish)
-        self.assertEqual(self.desk.holds_for(self.first), {})
+        self.assertEqual(self.desk.holds(), {})
         self.assertIn(
             (self.first, FinishMessage(permit.grant_id, finish)),
             self.peers.sent,
