Count the store's calls by kind and outcome

Change: turmericpost_store_calls_total{operation,outcome}, the VMs heard and the age of the oldest report in use; the exposition gets a test.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -40,6 +41,14 @@
     next_offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """A kind of call of the store and how it ended: ok, or why it failed."""
+
+    operation: str
+    outcome: str
+
+
 class FleetStore(Protocol):
     """What the entry VMs read from and write to the store."""
 
@@ -71,5 +80,5 @@
         """Return every VM that announced itself."""
 
     @property
-    def calls(self) -> int:
+    def outcomes(self) -> Mapping[StoreCall, int]:
         """Calls made so far."""
--- a/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
@@ -12,6 +12,7 @@
     Metric,
 )
 
+from turmericpost.fleet.store import StoreCall
 from turmericpost.observe.histogram import new_histogram
 from turmericpost_core.outcome.reasons import RefusalReason
 
@@ -43,9 +44,11 @@
         self,
         metrics: GatewayMetrics,
         gauges: Callable[[], Mapping[str, float]],
+        store_calls: Callable[[], Mapping[StoreCall, int]],
     ) -> None:
         self._metrics = metrics
         self._gauges = gauges
+        self._store_calls = store_calls
 
     def collect(self) -> Iterator[Metric]:
         """Yield every metric family."""
@@ -66,6 +69,7 @@
             {one.value: metrics.refusals[one] for one in RefusalReason},
         )
         yield _by_label('sends_failed', 'cause', metrics.sends_failed)
+        yield self._stored()
         yield self._latency()
         for name, figure in self._gauges().items():
             yield GaugeMetricFamily(
@@ -80,6 +84,16 @@
         registry.register(self)
         return generate_latest(registry)
 
+    def _stored(self) -> Metric:
+        family = CounterMetricFamily(
+            'turmericpost_store_calls',
+            'Calls of the store.',
+            labels=['operation', 'outcome'],
+        )
+        for call, count in self._store_calls().items():
+            family.add_metric([call.operation, call.outcome], count)
+        return family
+
     def _latency(self) -> Metric:
         gauge = GaugeMetricFamily(
             'turmericpost_call_latency_us',
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -16,6 +16,7 @@
 from turmericpost.fleet.update_codec import encode_update
 from turmericpost.fleet.update_stream import UpdateServer
 from turmericpost.gateway.assembly import CallPathNeeds, new_call_path
+from turmericpost.gateway.broker_desk import OLDEST_REPORT_S
 from turmericpost.gateway.dialect import Dialect
 from turmericpost.gateway.endpoints import Endpoints
 from turmericpost.gateway.gateway_metrics import (
@@ -198,7 +199,11 @@
             domain_regions=settings.domain_regions,
             work_s=self.peers.demand.total,
             is_ready=lambda: self.is_ready,
-            collector=GatewayCollector(self.metrics, self._gauges),
+            collector=GatewayCollector(
+                self.metrics,
+                self._gauges,
+                lambda: self._store.outcomes,
+            ),
         )
         self._endpoint_port = new_caller_port(
             settings.readiness,
@@ -350,11 +355,22 @@
         config = self.state.config
         return {
             'in_flight': len(self.calls.in_flight),
-            'store_calls': self._store.calls,
             'store_read_age_s': knowledge.read_age_s,
             'config_version': 0 if config is None else config.version,
             'backends': len(self.state.directory.backends),
             'probes': self.path.probes.sent,
             'server_connections_opened': self.path.connections.opened,
             'peer_bytes_sent': self.peers.bytes_sent,
+            'vms_heard': len(self.view.members(self.clock.monotonic_s())),
+            'server_report_age_s': self._oldest_report_s(),
         }
+
+    def _oldest_report_s(self) -> float:
+        """Return the age of the oldest report of a server in own use."""
+        now_s = self.clock.monotonic_s()
+        ages_s = [
+            min(now_s - use.reported_s, OLDEST_REPORT_S)
+            for use in self.path.broker_desk.broker.uses()
+            if use.permits
+        ]
+        return max(ages_s, default=0)
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -13,6 +14,7 @@
     InvalidRecord,
     OperatorRecords,
     Registrations,
+    StoreCall,
 )
 from turmericpost.gateway.settings import Address
 from turmericpost.http1.lane import Lane, LaneAnswer, LaneError, LaneRequest
@@ -86,7 +88,7 @@
         address: Address,
         count_bytes: Callable[[int], None] = _ignore,
     ) -> None:
-        self.calls = 0
+        self.outcomes: Counter[StoreCall] = Counter()
         self._reactor = reactor
         self._address = address
         self._count_bytes = count_bytes
@@ -96,7 +98,7 @@
 
     async def list_backends(self) -> Result[Registrations, StoreError]:
         """Return the newest registration of every backend server."""
-        listed = await self._list(_BACKENDS_TOPIC)
+        listed = await self._list('list-backends', _BACKENDS_TOPIC)
         return listed.map(_registrations)
 
     async def read_backends(
@@ -104,12 +106,14 @@
         from_offset: int,
     ) -> Result[Registrations, StoreError]:
         """Return the registrations from an offset on, at once."""
-        read = await self._read_keyed(_BACKENDS_TOPIC, from_offset)
-        return read.map(_registrations)
+        request = _read_query(_BACKENDS_TOPIC, from_offset)
+        called = await self._call('read-backends', request, CALL_TIMEOUT_S)
+        decoded = called.and_then(lambda body: decode_read(from_offset, body))
+        return decoded.map(keyed_read).map(_registrations)
 
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
         """Return the configuration and the evacuations in force."""
-        listed = await self._list(_OPERATOR_TOPIC)
+        listed = await self._list('list-operator', _OPERATOR_TOPIC)
         return listed.map(_operator_records)
 
     async def watch_operator(
@@ -121,7 +125,7 @@
         self._watching = lane
         query = _read_query(_OPERATOR_TOPIC, from_offset, WATCH_S)
         timeout_s = WATCH_S + _WATCH_SLACK_S
-        called = await self._call(query, timeout_s, lane)
+        called = await self._call('watch-operator', query, timeout_s, lane)
         self._watching = None
         decoded = called.and_then(lambda body: decode_read(from_offset, body))
         return decoded.map(keyed_read).map(_operator_records)
@@ -136,12 +140,12 @@
         query = _query('log-append', Topic=_VMS_TOPIC, part=0)
         body = encode_keyed(vm.name, encode_vm(vm))
         request = LaneRequest('POST', query, body)
-        sent = await self._call(request, CALL_TIMEOUT_S)
+        sent = await self._call('announce', request, CALL_TIMEOUT_S)
         return Err(sent.unwrap_err()) if sent.is_err() else Ok(None)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], StoreError]:
         """Return every VM that announced itself."""
-        listed = await self._list(_VMS_TOPIC)
+        listed = await self._list('list-vms', _VMS_TOPIC)
         return listed.map(_vms)
 
     def close(self) -> None:
@@ -157,7 +161,7 @@
         """Append a plain record and return its offset."""
         query = _query('log-append', Topic=stream, part=0)
         request = LaneRequest('POST', query, encode_record(record))
-        sent = await self._call(request, CALL_TIMEOUT_S)
+        sent = await self._call('append', request, CALL_TIMEOUT_S)
         return sent.and_then(decode_append)
 
     async def read(
@@ -168,10 +172,14 @@
     ) -> Result[LogBatch, StoreError]:
         """Read plain records from an offset on, waiting for the first one."""
         request = _read_query(stream, from_offset, wait_s)
-        called = await self._call(request, CALL_TIMEOUT_S + wait_s)
+        called = await self._call('read', request, CALL_TIMEOUT_S + wait_s)
         return called.and_then(lambda body: decode_read(from_offset, body))
 
-    async def _list(self, topic: str) -> Result[KeyedRead, StoreError]:
+    async def _list(
+        self,
+        operation: str,
+        topic: str,
+    ) -> Result[KeyedRead, StoreError]:
         """Return all pages of a listing.
 
         Pages are not a snapshot: reading goes on from the end of the first.
@@ -180,7 +188,7 @@
         end: int | None = None
         after: str | None = None
         while True:
-            page = await self._page(topic, after)
+            page = await self._page(operation, topic, after)
             if page.is_err():
                 return Err(page.unwrap_err())
             listing = page.unwrap()
@@ -192,6 +200,7 @@
 
     async def _page(
         self,
+        operation: str,
         topic: str,
         after: str | None,
     ) -> Result[Listing, StoreError]:
@@ -199,32 +208,25 @@
         if after is not None:
             query['after'] = after
         request = LaneRequest('GET', _query('log-newest', **query))
-        called = await self._call(request, LIST_TIMEOUT_S)
+        called = await self._call(operation, request, LIST_TIMEOUT_S)
         return called.and_then(decode_listing)
 
-    async def _read_keyed(
-        self,
-        topic: str,
-        from_offset: int,
-    ) -> Result[KeyedRead, StoreError]:
-        request = _read_query(topic, from_offset)
-        called = await self._call(request, CALL_TIMEOUT_S)
-        decoded = called.and_then(lambda body: decode_read(from_offset, body))
-        return decoded.map(keyed_read)
-
     async def _call(
         self,
+        operation: str,
         request: LaneRequest,
         timeout_s: float,
         lane: Lane | None = None,
     ) -> Result[bytes, StoreError]:
-        self.calls += 1
         used = self._idle_lane() if lane is None else lane
         answered = await used.send(request, timeout_s)
         self._busy.discard(used)
         self._lanes.append(used)
         self._count_bytes(len(request.target) + len(request.body))
-        return answered.map_err(_lane_error).and_then(self._body)
+        body = answered.map_err(_lane_error).and_then(self._body)
+        outcome = body.unwrap_err().kind.value if body.is_err() else 'ok'
+        self.outcomes[StoreCall(operation, outcome)] += 1
+        return body
 
     def _body(self, answer: LaneAnswer) -> Result[bytes, StoreError]:
         self._count_bytes(len(answer.body))
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -4,12 +4,17 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Mapping
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from turmericpost.fleet.store import OperatorRecords, Registrations
+from turmericpost.fleet.store import (
+    OperatorRecords,
+    Registrations,
+    StoreCall,
+)
 from turmericpost.fleet.store_reader import ReaderListeners, StoreReader
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.store.errors import StoreError, StoreErrorKind
@@ -33,8 +38,8 @@
         self._waiting: Deferred[None] | None = None
 
     @property
-    def calls(self) -> int:
-        return self.made.total()
+    def outcomes(self) -> Mapping[StoreCall, int]:
+        return {}
 
     @property
     def end(self) -> int:
--- /dev/null
+++ b/packages/turmericpost-entry/tests/gateway/test_gateway_metrics.py
@@ -0,0 +1,55 @@
+"""Metrics as text: counts by reason and outcome, figures of the moment."""
+
+from __future__ import annotations
+
+import unittest
+
+from turmericpost.fleet.store import StoreCall
+from turmericpost.gateway.gateway_metrics import (
+    GatewayCollector,
+    GatewayMetrics,
+)
+from turmericpost_core.outcome.reasons import RefusalReason
+
+
+class GatewayMetricsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.metrics = GatewayMetrics()
+        self.store_calls: dict[StoreCall, int] = {}
+        self.collector = GatewayCollector(
+            self.metrics,
+            lambda: {'vms_heard': 5},
+            lambda: self.store_calls,
+        )
+
+    def lines(self) -> set[str]:
+        return set(self.collector.exposition().decode().splitlines())
+
+    def test_store_calls_are_told_by_operation_and_outcome(self) -> None:
+        self.store_calls[StoreCall('read-backends', 'turned-away')] = 3
+        line = (
+            'turmericpost_store_calls_total'
+            '{operation="read-backends",outcome="turned-away"} 3.0'
+        )
+        self.assertIn(line, self.lines())
+
+    def test_each_reason_of_a_refusal_is_told(self) -> None:
+        self.metrics.refusals[RefusalReason.NO_FREE_SLOT] += 2
+        lines = self.lines()
+        name = 'turmericpost_refusals_total{reason="no-free-slot"} 2.0'
+        self.assertIn(name, lines)
+        told = [line for line in lines if 'refusals_total{' in line]
+        self.assertEqual(len(told), len(RefusalReason))
+
+    def test_figures_of_the_moment_are_told(self) -> None:
+        self.assertIn('turmericpost_vms_heard 5.0', self.lines())
+
+    def test_latency_is_told_in_percentiles(self) -> None:
+        for _ in range(100):
+            self.metrics.record_answered(0.25, 200)
+        lines = self.lines()
+        self.assertIn('turmericpost_answered_total{status="200"} 100.0', lines)
+        prefix = 'turmericpost_call_latency_us{quantile="0.99"} '
+        (line,) = [one for one in lines if one.startswith(prefix)]
+        latency_us = float(line.removeprefix(prefix))
+        self.assertAlmostEqual(latency_us, 250_000, delta=2500)
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -14,7 +14,7 @@
 from twisted.python.failure import Failure
 from twisted.web.server import Site
 
-from turmericpost.fleet.store import Registrations
+from turmericpost.fleet.store import Registrations, StoreCall
 from turmericpost.platform.store_client import StoreClient
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.membership.domain_view import Vm
@@ -109,6 +109,25 @@
         self.assertEqual(len(listed.records), 5)
         self.assertEqual(listed.next_offset, 5)
 
+    def test_calls_are_counted_by_how_they_ended(self) -> None:
+        store = StoreRun(StoreSizes(page_rows=2))
+        for number in range(5):
+            store.register(number)
+
+        async def steps() -> None:
+            await store.client.list_backends()
+            store.service.faults.is_busy = True
+            await store.client.read_backends(0)
+
+        store.run(steps)
+        self.assertEqual(
+            store.client.outcomes,
+            {
+                StoreCall('list-backends', 'ok'): 3,
+                StoreCall('read-backends', 'turned-away'): 1,
+            },
+        )
+
     def test_foreign_records_name_no_server(self) -> None:
         store = StoreRun()
         store.register(0)
