Look for a server once per decision, not once per waiting ask

Change: the servers with room are listed and ordered once; asks take the first that they do not exclude. The choice is the same: the order does not depend on the ask.

Tests of the broker unchanged and passing.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -7,7 +7,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import (
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.operator_config import ServiceSpec
@@ -240,8 +246,11 @@
     ) -> Iterator[Decision]:
         ahead = 0
         slots = self._slots(pool)
+        takers = self._takers(pool, now_s)
         for ask in tuple(queue.in_order(now_s)):
-            decision = self._place(ask, queue, now_s)
+            decision = self._place(ask, queue, takers, now_s)
+            if isinstance(decision, Granted):
+                takers = self._takers(pool, now_s)
             if decision is None and ahead:
                 wait_s = queue.wait_s(ahead, slots, ask, now_s)
                 if now_s + wait_s + queue.usual_s(ask) > ask.deadline_at_s:
@@ -258,12 +267,13 @@
         self,
         ask: Ask,
         queue: ServiceQueue,
+        takers: Sequence[BackendUse],
         now_s: float,
     ) -> Granted | Denied | None:
         usual_s = queue.usual_s(ask)
         if now_s + usual_s > ask.deadline_at_s:
             return Denied(ask, AskEnd.DEADLINE, usual_s)
-        use = self._best(ask, usual_s, now_s)
+        use = _best(takers, ask, usual_s, now_s)
         if use is not None:
             queue.record_grant(now_s)
             return self._grant(ask, use, now_s)
@@ -275,30 +285,13 @@
             return Denied(ask, AskEnd.OVERLOADED)
         return None
 
-    def _best(
-        self,
-        ask: Ask,
-        usual_s: float,
-        now_s: float,
-    ) -> BackendUse | None:
-        """Return the server that finishes first, if it is good enough."""
-        fit = [
-            use
-            for use in self._with_room(ask.pool, now_s)
-            if use.backend.backend_id not in ask.excluded
-            and use.is_fresh(now_s)
+    def _takers(self, pool: Pool, now_s: float) -> list[BackendUse]:
+        """Return the servers that may take a call now, the best first."""
+        fresh = [
+            use for use in self._with_room(pool, now_s) if use.is_fresh(now_s)
         ]
-        if not fit:
-            return None
-        best = min(fit, key=lambda use: _preference(use, now_s))
-        end_s = now_s + usual_s * best.work_factor(now_s)
-        is_fast = best.slowness_percent <= USUAL_SPEED_PERCENT
-        if is_fast or end_s <= ask.objective_at_s:
-            return best
-        waited_s = now_s - ask.arrived_s
-        if waited_s > SLOW_WAIT_S and end_s <= ask.deadline_at_s:
-            return best
-        return None
+        fresh.sort(key=lambda use: _preference(use, now_s))
+        return fresh
 
     def _grant(
         self,
@@ -417,6 +410,27 @@
     return use.backend.service, use.backend.failure_domain
 
 
+def _best(
+    takers: Sequence[BackendUse],
+    ask: Ask,
+    usual_s: float,
+    now_s: float,
+) -> BackendUse | None:
+    """Return the first server that is not excluded, if it is good enough."""
+    fit = (use for use in takers if use.backend.backend_id not in ask.excluded)
+    best = next(fit, None)
+    if best is None:
+        return None
+    end_s = now_s + usual_s * best.work_factor(now_s)
+    is_fast = best.slowness_percent <= USUAL_SPEED_PERCENT
+    if is_fast or end_s <= ask.objective_at_s:
+        return best
+    waited_s = now_s - ask.arrived_s
+    if waited_s > SLOW_WAIT_S and end_s <= ask.deadline_at_s:
+        return best
+    return None
+
+
 def _preference(use: BackendUse, now_s: float) -> tuple[bool, float, float]:
     share = use.in_use(now_s) / use.backend.slots
     sick = not use.is_healthy or use.failure_share > 1 / 4
