Part the broker: its pools, its permits, its choice

Change: pool_state.py keeps servers, waiting asks and budget of a pool and says who is turned away; grant_book.py keeps the permits in use; choice.py chooses; the broker is left with the order of things.

Measured: no test changed; 1,000 histories, tests of the broker, of calls and of entry VMs over sockets pass.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -18,14 +18,9 @@
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.operator_config import ServiceSpec
 from turmericpost_core.grants.backend_use import BackendUse
-from turmericpost_core.grants.limits import (
-    HELD_CHECK_S,
-    PROBES_AT_ONCE,
-    SLOW_WAIT_S,
-    USUAL_SPEED_PERCENT,
-    RepeatBounds,
-    usable_slots,
-)
+from turmericpost_core.grants.choice import choose_use, in_preference
+from turmericpost_core.grants.grant_book import GrantBook
+from turmericpost_core.grants.limits import RepeatBounds
 from turmericpost_core.grants.permits import (
     Ask,
     AskEnd,
@@ -39,12 +34,9 @@
     ProbeWanted,
     SendOutcome,
 )
-from turmericpost_core.grants.repeat_budget import RepeatBudget
-from turmericpost_core.grants.waiting_asks import ServiceQueue
+from turmericpost_core.grants.pool_state import PoolState, uses_to_probe
 
 _PERCENT = 100.0
-_LEAVE_AFTER_S = 0.02
-_EXPIRY_SLACK_S = 0.5
 
 
 class Broker:
@@ -60,21 +52,16 @@
     def __init__(self, own_name: str, bounds: RepeatBounds) -> None:
         self.view_share = float(0)
         self.leads: Callable[[Pool], bool] = _always
-        self._own_name = own_name
         self._bounds = bounds
         self._uses: dict[str, BackendUse] = {}
-        self._by_pool: dict[Pool, list[BackendUse]] = {}
+        self._pools: dict[Pool, PoolState] = {}
         self._services: Mapping[str, ServiceSpec] = {}
-        self._queues: dict[Pool, ServiceQueue] = {}
-        self._budgets: dict[Pool, RepeatBudget] = {}
-        self._grants: dict[str, Grant] = {}
-        self._granted_asks: dict[str, Granted] = {}
-        self._next_grant = 0
+        self._book = GrantBook(own_name)
 
     @property
     def has_waiting(self) -> bool:
         """Whether any ask waits."""
-        return any(self._queues.values())
+        return any(pool.queue for pool in self._pools.values())
 
     def uses(self) -> Iterable[BackendUse]:
         """Return what is known of every backend server."""
@@ -97,35 +84,38 @@
                 _update(known, backend, now_s)
             uses[backend.backend_id] = known
         self._uses = uses
-        self._by_pool = {}
+        for state in self._pools.values():
+            state.uses.clear()
         for use in uses.values():
-            self._by_pool.setdefault(_pool(use), []).append(use)
+            self._pool(_pool_of(use)).uses.append(use)
 
     def ask(self, ask: Ask, now_s: float) -> tuple[Decision, ...]:
         """Take an ask; a repeated one gets its first answer again."""
-        granted = self._granted_asks.get(ask.ask_id)
+        granted = self._book.answer_to(ask.ask_id)
         if granted is not None:
             return (granted,)
-        queue = self._queue(ask.pool)
-        if ask.ask_id in queue:
+        pool = self._pool(ask.pool)
+        if ask.ask_id in pool.queue:
             return ()
-        end = self._refusal(ask, queue, now_s)
+        end = pool.refusal(ask, now_s)
         if end is not None:
             return (end,)
-        queue.add(ask)
+        pool.queue.add(ask)
         return self.decide(now_s, ask.pool)
 
     def cancel(self, ask_id: str) -> None:
         """Forget an ask that nobody waits for."""
-        for queue in self._queues.values():
-            if queue.remove(ask_id):
+        for pool in self._pools.values():
+            if pool.queue.remove(ask_id):
                 return
-        granted = self._granted_asks.pop(ask_id, None)
-        if granted is not None and granted.grant_id in self._grants:
-            grant = self._grants.pop(granted.grant_id)
-            self._release(grant, SendOutcome.UNUSED, grant.granted_s)
-            if not granted.ask.is_repeat:
-                self._budget(granted.ask.pool, grant.granted_s).unrecord_call()
+        taken_back = self._book.take_back(ask_id)
+        if taken_back is None:
+            return
+        granted, grant = taken_back
+        self._release(grant, SendOutcome.UNUSED, grant.granted_s)
+        if not granted.ask.is_repeat:
+            budget = self._pool(granted.ask.pool).budget(grant.granted_s)
+            budget.unrecord_call()
 
     def decide(
         self,
@@ -133,12 +123,11 @@
         pool: Pool | None = None,
     ) -> tuple[Decision, ...]:
         """Return what can be decided now for the asks that wait."""
-        pools = tuple(self._queues) if pool is None else (pool,)
+        pools = tuple(self._pools) if pool is None else (pool,)
         decisions: list[Decision] = []
         for one in pools:
-            queue = self._queues.get(one)
-            if queue:
-                decisions.extend(self._decide_queue(one, queue, now_s))
+            if self._pool(one).queue:
+                decisions.extend(self._decide_pool(one, now_s))
         return tuple(decisions)
 
     def finished(
@@ -148,7 +137,7 @@
         now_s: float,
     ) -> tuple[Decision, ...]:
         """Take back a permit with what its holder saw."""
-        grant = self._grants.pop(grant_id, None)
+        grant = self._book.close(grant_id)
         if grant is None:
             return ()
         use = self._release(grant, finish.outcome, now_s)
@@ -159,9 +148,9 @@
             if finish.figures is None:
                 use.tells_load = False
             factor = grant.slowness_percent / _PERCENT
-            queue = self._queue(_pool(use))
+            queue = self._pool(_pool_of(use)).queue
             queue.record_work(finish.latency_s / factor, grant.objective_s)
-        return self.decide(now_s, _pool(use))
+        return self.decide(now_s, _pool_of(use))
 
     def probed(
         self,
@@ -180,7 +169,7 @@
         use.report(figures, now_s, use.permits)
         if figures is None:
             use.tells_load = False
-        return self.decide(now_s, _pool(use))
+        return self.decide(now_s, _pool_of(use))
 
     def probe_failed(self, backend_id: str, now_s: float) -> None:
         """Note a probe that got no answer."""
@@ -199,99 +188,69 @@
         Permits given by an earlier broker are taken over; those the VM no
         longer holds are freed.
         """
-        for grant_id, grant in tuple(self._grants.items()):
-            is_settled = now_s - grant.granted_s > HELD_CHECK_S
-            if grant.asker == asker and is_settled and grant_id not in holds:
-                self._forget(grant_id, now_s)
+        for dropped in self._book.dropped(asker, holds, now_s):
+            self._forget(dropped, now_s)
         for grant_id, backend_id in holds.items():
             use = self._uses.get(backend_id)
-            if grant_id not in self._grants and use is not None:
-                self._grants[grant_id] = Grant(
-                    backend_id,
-                    asker,
-                    now_s,
-                    float('inf'),
-                )
+            if grant_id not in self._book and use is not None:
+                taken = Grant(backend_id, asker, now_s, float('inf'))
+                self._book.take_over(grant_id, taken)
                 use.start(now_s)
 
     def vm_lost(self, asker: str, now_s: float) -> None:
         """Free what a lost VM held and waited for."""
-        for grant_id, grant in tuple(self._grants.items()):
-            if grant.asker == asker:
-                self._forget(grant_id, now_s)
-        for queue in self._queues.values():
-            for ask in tuple(queue.in_order(now_s)):
+        for grant_id in self._book.of_vm(asker):
+            self._forget(grant_id, now_s)
+        for pool in self._pools.values():
+            for ask in tuple(pool.queue.in_order(now_s)):
                 if ask.asker == asker:
-                    queue.remove(ask.ask_id)
+                    pool.queue.remove(ask.ask_id)
 
     def expire(self, now_s: float) -> None:
         """Free the permits of calls that must have ended."""
-        for grant_id, grant in tuple(self._grants.items()):
-            if now_s > grant.expires_s + _EXPIRY_SLACK_S:
-                self._forget(grant_id, now_s)
+        for grant_id in self._book.expired(now_s):
+            self._forget(grant_id, now_s)
 
     def forget_old_asks(self, now_s: float) -> None:
         """Drop the answers kept for asks that come again."""
-        self._granted_asks = {
-            ask_id: granted
-            for ask_id, granted in self._granted_asks.items()
-            if now_s < granted.ask.deadline_at_s
-        }
+        self._book.forget_old_answers(now_s)
 
-    def _decide_queue(
-        self,
-        pool: Pool,
-        queue: ServiceQueue,
-        now_s: float,
-    ) -> Iterator[Decision]:
+    def _decide_pool(self, pool: Pool, now_s: float) -> Iterator[Decision]:
+        state = self._pool(pool)
         ahead = 0
-        slots = self._slots(pool)
         takers = self._takers(pool, now_s)
-        for ask in tuple(queue.in_order(now_s)):
-            decision = self._place(ask, queue, takers, now_s)
+        for ask in tuple(state.queue.in_order(now_s)):
+            decision = self._place(ask, takers, now_s)
             if isinstance(decision, Granted):
                 takers = self._takers(pool, now_s)
-            if decision is None and ahead:
-                wait_s = queue.wait_s(ahead, slots, ask, now_s)
-                if now_s + wait_s + queue.usual_s(ask) > ask.deadline_at_s:
-                    decision = Denied(ask, AskEnd.OVERLOADED, wait_s)
+            decision = decision or state.given_up(ask, ahead, now_s)
             if decision is None:
                 ahead += 1
             else:
-                queue.remove(ask.ask_id)
+                state.queue.remove(ask.ask_id)
                 yield decision
-        if queue:
+        if state.queue:
             yield from self._probes(pool, now_s)
 
     def _place(
         self,
         ask: Ask,
-        queue: ServiceQueue,
         takers: Sequence[BackendUse],
         now_s: float,
     ) -> Granted | Denied | None:
+        queue = self._pool(ask.pool).queue
         usual_s = queue.usual_s(ask)
         if now_s + usual_s > ask.deadline_at_s:
             return Denied(ask, AskEnd.DEADLINE, usual_s)
-        use = _best(takers, ask, usual_s, now_s)
-        if use is not None:
-            queue.record_grant(now_s)
-            return self._grant(ask, use, now_s)
-        waited_s = now_s - ask.asked_s
-        leaves = ask.may_leave and queue.is_late(ask, now_s + usual_s / 2)
-        if leaves and waited_s > _LEAVE_AFTER_S:
-            return Denied(ask, AskEnd.ELSEWHERE)
-        if not ask.may_wait and waited_s > 2 * _LEAVE_AFTER_S:
-            return Denied(ask, AskEnd.OVERLOADED)
-        return None
+        use = choose_use(takers, ask, usual_s, now_s)
+        if use is None:
+            return None
+        queue.record_grant(now_s)
+        return self._grant(ask, use, now_s)
 
     def _takers(self, pool: Pool, now_s: float) -> list[BackendUse]:
         """Return the servers that may take a call now, the best first."""
-        fresh = [
-            use for use in self._with_room(pool, now_s) if use.is_fresh(now_s)
-        ]
-        fresh.sort(key=lambda use: _preference(use, now_s))
-        return fresh
+        return in_preference(self._with_room(pool, now_s), now_s)
 
     def _grant(
         self,
@@ -299,14 +258,22 @@
         use: BackendUse,
         now_s: float,
     ) -> Granted | Denied:
-        if ask.is_repeat and not self._take_repeat(ask.pool, now_s):
-            return Denied(ask, AskEnd.REPEAT_BUDGET)
+        pool = self._pool(ask.pool)
+        budget = pool.budget(now_s)
         if not ask.is_repeat:
-            self._budget(ask.pool, now_s).record_call(now_s)
+            budget.record_call(now_s)
+        elif not budget.take(now_s, self._share(ask.pool)):
+            return Denied(ask, AskEnd.REPEAT_BUDGET)
         use.start(now_s)
-        self._next_grant += 1
-        grant_id = f'{self._own_name}/{self._next_grant}'
-        self._grants[grant_id] = Grant(
+        granted = Granted(
+            ask,
+            use.backend,
+            self._book.new_id(),
+            use.slowness_percent,
+            now_s - use.reported_s,
+            pool.queue.usual_s(ask) * use.work_factor(now_s),
+        )
+        grant = Grant(
             use.backend.backend_id,
             ask.asker,
             now_s,
@@ -314,63 +281,22 @@
             ask.objective_at_s - ask.arrived_s,
             use.slowness_percent,
         )
-        granted = Granted(
-            ask,
-            use.backend,
-            grant_id,
-            use.slowness_percent,
-            now_s - use.reported_s,
-            self._queue(ask.pool).usual_s(ask) * use.work_factor(now_s),
-        )
-        self._granted_asks[ask.ask_id] = granted
+        self._book.open(granted, grant)
         return granted
 
-    def _take_repeat(self, pool: Pool, now_s: float) -> bool:
-        return self._budget(pool, now_s).take(now_s, self._share(pool))
-
     def _share(self, pool: Pool) -> float:
         return self.view_share if self.leads(pool) else float(0)
 
     def _probes(self, pool: Pool, now_s: float) -> Iterator[ProbeWanted]:
         """Yield probes of servers with room whose report is old."""
-        stale = [
-            use
-            for use in self._with_room(pool, now_s)
-            if use.may_probe(now_s) and not use.is_fresh(now_s)
-        ]
-        stale.sort(key=lambda use: (use.in_use(now_s), use.probed_s))
-        for use in stale[:PROBES_AT_ONCE]:
+        for use in uses_to_probe(self._with_room(pool, now_s), now_s):
             use.probe_sent(now_s)
             yield ProbeWanted(use.backend)
 
-    def _with_room(self, pool: Pool, now_s: float) -> Iterator[BackendUse]:
+    def _with_room(self, pool: Pool, now_s: float) -> list[BackendUse]:
         spec = self._services.get(pool[0])
         cold_per_s = 1 if spec is None else spec.cold_per_s * self._share(pool)
-        for use in self._by_pool.get(pool, ()):
-            if use.has_room(now_s, cold_per_s):
-                yield use
-
-    def _refusal(
-        self,
-        ask: Ask,
-        queue: ServiceQueue,
-        now_s: float,
-    ) -> Denied | None:
-        slots = self._slots(ask.pool)
-        if not slots:
-            return Denied(ask, AskEnd.NO_BACKEND)
-        usual_s = queue.usual_s(ask)
-        wait_s = queue.wait_s(len(queue), slots, ask, now_s)
-        end_s = now_s + wait_s + usual_s
-        if ask.may_leave and end_s > ask.objective_at_s:
-            return Denied(ask, AskEnd.ELSEWHERE)
-        if end_s > ask.deadline_at_s:
-            return Denied(ask, AskEnd.OVERLOADED, wait_s)
-        return None
-
-    def _slots(self, pool: Pool) -> int:
-        uses = self._by_pool.get(pool, ())
-        return sum(usable_slots(use.backend.slots) for use in uses)
+        return self._pool(pool).with_room(now_s, cold_per_s)
 
     def _release(
         self,
@@ -384,59 +310,26 @@
         return use
 
     def _forget(self, grant_id: str, now_s: float) -> None:
-        grant = self._grants.pop(grant_id)
-        self._release(grant, SendOutcome.UNUSED, now_s)
+        grant = self._book.close(grant_id)
+        if grant is not None:
+            self._release(grant, SendOutcome.UNUSED, now_s)
 
-    def _queue(self, pool: Pool) -> ServiceQueue:
-        queue = self._queues.get(pool)
-        if queue is None:
-            queue = ServiceQueue()
-            self._queues[pool] = queue
-        return queue
-
-    def _budget(self, pool: Pool, now_s: float) -> RepeatBudget:
-        budget = self._budgets.get(pool)
-        if budget is None:
-            budget = RepeatBudget(self._bounds, now_s)
-            self._budgets[pool] = budget
-        return budget
+    def _pool(self, pool: Pool) -> PoolState:
+        state = self._pools.get(pool)
+        if state is None:
+            state = PoolState(self._bounds)
+            self._pools[pool] = state
+        return state
 
 
 def _always(_pool_asked: Pool) -> bool:
     return True
 
 
-def _pool(use: BackendUse) -> Pool:
+def _pool_of(use: BackendUse) -> Pool:
     return use.backend.service, use.backend.failure_domain
 
 
-def _best(
-    takers: Sequence[BackendUse],
-    ask: Ask,
-    usual_s: float,
-    now_s: float,
-) -> BackendUse | None:
-    """Return the first server that is not excluded, if it is good enough."""
-    fit = (use for use in takers if use.backend.backend_id not in ask.excluded)
-    best = next(fit, None)
-    if best is None:
-        return None
-    end_s = now_s + usual_s * best.work_factor(now_s)
-    is_fast = best.slowness_percent <= USUAL_SPEED_PERCENT
-    if is_fast or end_s <= ask.objective_at_s:
-        return best
-    waited_s = now_s - ask.arrived_s
-    if waited_s > SLOW_WAIT_S and end_s <= ask.deadline_at_s:
-        return best
-    return None
-
-
-def _preference(use: BackendUse, now_s: float) -> tuple[bool, float, float]:
-    share = use.in_use(now_s) / use.backend.slots
-    sick = not use.is_healthy or use.failure_share > 1 / 4
-    return sick, use.work_factor(now_s), share
-
-
 def _is_other_start(known: Backend, backend: Backend) -> bool:
     if known.started_ms != backend.started_ms:
         return True
--- a/packages/turmericpost-entry/src/turmericpost/gateway/assembly.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/assembly.py
@@ -13,6 +13,7 @@
 from turmericpost.gateway.dialect import Dialect
 from turmericpost.gateway.gateway_metrics import GatewayMetrics
 from turmericpost.gateway.ingress import Ingress
+from turmericpost.gateway.leadership import Leadership
 from turmericpost.gateway.permit_desk import PermitDesk
 from turmericpost.gateway.probes import Probes
 from turmericpost.gateway.settings import GatewaySettings
@@ -20,7 +21,6 @@
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.limits import RepeatBounds
-from turmericpost_core.grants.permits import Pool
 
 SLACK_SHARE = 0.5
 """Part of the repeat budget's slack that all brokers of a service use
@@ -65,7 +65,7 @@
         lambda service: _health_path(state, service),
     )
     broker = _new_broker(needs)
-    broker.leads = lambda pool: _leads(needs, pool)
+    broker.leads = Leadership(needs.clock, needs.peers.view).leads
     broker_desk = BrokerDesk(
         needs.reactor,
         needs.clock,
@@ -104,18 +104,6 @@
     return Broker(f'{own.name}.{own.started_ms}', bounds)
 
 
-def _leads(needs: CallPathNeeds, pool: Pool) -> bool:
-    """Return whether this VM is the first that calls of a pool turn to."""
-    view = needs.peers.view
-    service, domain = pool
-    ranked = view.ranked(
-        f'{service}@{domain}',
-        domain,
-        needs.clock.monotonic_s(),
-    )
-    return ranked[0].name == view.own.name
-
-
 def _health_path(state: FleetState, service: str) -> str:
     config = state.config
     spec = None if config is None else config.services.get(service)
