--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import (
     Callable,
     Iterable,
@@ -84,10 +85,11 @@
                 _update(known, backend, now_s)
             uses[backend.backend_id] = known
         self._uses = uses
-        for state in self._pools.values():
-            state.uses.clear()
+        by_pool: defaultdict[Pool, list[BackendUse]] = defaultdict(list)
         for use in uses.values():
-            self._pool(_pool_of(use)).uses.append(use)
+            by_pool[_pool_of(use)].append(use)
+        for pool in self._pools.keys() | by_pool.keys():
+            self._pool(pool).install(by_pool[pool])
 
     def ask(self, ask: Ask, now_s: float) -> tuple[Decision, ...]:
         """Take an ask; a repeated one gets its first answer again."""
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -22,15 +22,16 @@
     """What a broker keeps of one pool."""
 
     def __init__(self, bounds: RepeatBounds) -> None:
-        self.uses: list[BackendUse] = []
+        self.uses: tuple[BackendUse, ...] = ()
+        self.slots = 0
         self.queue = ServiceQueue()
         self._bounds = bounds
         self._budget: RepeatBudget | None = None
 
-    @property
-    def slots(self) -> int:
-        """Slots that may be in use before servers slow down."""
-        return sum(usable_slots(use.backend.slots) for use in self.uses)
+    def install(self, uses: Iterable[BackendUse]) -> None:
+        """Take the servers, and count the slots that may be in use."""
+        self.uses = tuple(uses)
+        self.slots = sum(usable_slots(use.backend.slots) for use in self.uses)
 
     def budget(self, now_s: float) -> RepeatBudget:
         """Return the budget of repeats, begun when first asked for."""
@@ -58,15 +59,15 @@
 
     def given_up(self, ask: Ask, ahead: int, now_s: float) -> Denied | None:
         """Return why a waiting ask waits no longer, with some ahead of it."""
-        queue = self.queue
         waited_s = now_s - ask.asked_s
-        is_late = queue.is_late(ask, now_s + queue.usual_s(ask) / 2)
-        if ask.may_leave and is_late and waited_s > LEAVE_AFTER_S:
-            return Denied(ask, AskEnd.ELSEWHERE)
+        usual_s = self.queue.usual_s(ask)
+        if ask.may_leave and waited_s > LEAVE_AFTER_S:
+            if self.queue.is_late(ask, now_s + usual_s / 2):
+                return Denied(ask, AskEnd.ELSEWHERE)
         if not ask.may_wait and waited_s > 2 * LEAVE_AFTER_S:
             return Denied(ask, AskEnd.OVERLOADED)
-        wait_s = queue.wait_s(ahead, self.slots, ask, now_s) if ahead else 0
-        if now_s + wait_s + queue.usual_s(ask) > ask.deadline_at_s:
+        wait_s = self.queue.wait_s(ahead, self.slots, ask, now_s)
+        if ahead and now_s + wait_s + usual_s > ask.deadline_at_s:
             return Denied(ask, AskEnd.OVERLOADED, wait_s)
         return None
 
