Keep slots for calls that end in time, and let slow servers become fast

Pattern: more calls than fit on servers of which a third is four times slower at any moment.

Change: a slow server is taken late only in a pool where none was fast in the last second; a call is in time while 1.4 times the usual work fits. Who leaves for another domain, at 1.5 times, is as before.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_use.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_use.py
@@ -8,12 +8,14 @@
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.limits import (
     COLD_FACTOR,
+    FAST_MEMORY_S,
     FIRST_SHUN_S,
     FOREIGN_LOAD_S,
     FRESH_REPORT_S,
     LATENCY_WEIGHT,
     LONGEST_SHUN_S,
     PROBE_GAP_S,
+    USUAL_SPEED_PERCENT,
     WARM_REPORT_S,
     usable_slots,
 )
@@ -110,6 +112,14 @@
         """Return whether a probe may be sent now."""
         return not self.probe_pending and now_s - self.probed_s >= PROBE_GAP_S
 
+    def is_fast(self, now_s: float) -> bool:
+        """Return whether the server was at usual speed and sound of late."""
+        if now_s - self.reported_s > FAST_MEMORY_S or self._failures:
+            return False
+        if self.slowness_percent > USUAL_SPEED_PERCENT:
+            return False
+        return self.is_healthy and not self.is_cold(now_s)
+
     def work_factor(self, now_s: float) -> float:
         """Return how much longer than usual work takes at this moment."""
         factor = self.slowness_percent / _PERCENT
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -13,13 +13,12 @@
     Iterable,
     Iterator,
     Mapping,
-    Sequence,
 )
 
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.operator_config import ServiceSpec
 from turmericpost_core.grants.backend_use import BackendUse
-from turmericpost_core.grants.choice import choose_use, in_preference
+from turmericpost_core.grants.choice import Takers, choose_use, takers_of
 from turmericpost_core.grants.grant_book import GrantBook
 from turmericpost_core.grants.limits import RepeatBounds
 from turmericpost_core.grants.permits import (
@@ -237,7 +236,7 @@
     def _place(
         self,
         ask: Ask,
-        takers: Sequence[BackendUse],
+        takers: Takers,
         now_s: float,
     ) -> Granted | Denied | None:
         queue = self._pool(ask.pool).queue
@@ -250,9 +249,9 @@
         queue.record_grant(now_s)
         return self._grant(ask, use, now_s)
 
-    def _takers(self, pool: Pool, now_s: float) -> list[BackendUse]:
-        """Return the servers that may take a call now, the best first."""
-        return in_preference(self._with_room(pool, now_s), now_s)
+    def _takers(self, pool: Pool, now_s: float) -> Takers:
+        with_room = self._with_room(pool, now_s)
+        return takers_of(self._pool(pool).uses, with_room, now_s)
 
     def _grant(
         self,
--- a/packages/turmericpost-core/src/turmericpost_core/grants/choice.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/choice.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from turmericpost_core.grants.backend_use import BackendUse
 from turmericpost_core.grants.limits import (
@@ -15,28 +16,50 @@
 """Share of failed sends above which a server comes after all others."""
 
 
-def in_preference(
-    uses: Iterable[BackendUse],
+@dataclass(frozen=True)
+class Takers:
+    """Servers that may take a call now, the best first.
+
+    ``has_fast`` says whether any server of their pool is fast, with room or
+    without.
+    """
+
+    uses: tuple[BackendUse, ...]
+    has_fast: bool
+
+    def first(self, excluded: frozenset[str]) -> BackendUse | None:
+        """Return the best server that is not excluded."""
+        for use in self.uses:
+            if use.backend.backend_id not in excluded:
+                return use
+        return None
+
+
+def takers_of(
+    pool: Iterable[BackendUse],
+    with_room: Iterable[BackendUse],
     now_s: float,
-) -> list[BackendUse]:
-    """Return servers whose report is current, the best first."""
-    fresh = [use for use in uses if use.is_fresh(now_s)]
+) -> Takers:
+    """Return the servers whose report is current, in order of preference."""
+    fresh = [use for use in with_room if use.is_fresh(now_s)]
     fresh.sort(key=lambda use: _preference(use, now_s))
-    return fresh
+    has_fast = any(use.is_fast(now_s) for use in pool)
+    return Takers(tuple(fresh), has_fast)
 
 
 def choose_use(
-    takers: Sequence[BackendUse],
+    takers: Takers,
     ask: Ask,
     usual_s: float,
     now_s: float,
 ) -> BackendUse | None:
     """Return the first server not excluded by an ask, if it is good enough.
 
-    A slow one is if the call is in time there, or has waited for long.
+    A slow one is if the call is in time there, or if it has waited for long
+    in a pool without a fast one. Else its slot does more for the next call,
+    once the server is fast again.
     """
-    fit = (use for use in takers if use.backend.backend_id not in ask.excluded)
-    best = next(fit, None)
+    best = takers.first(ask.excluded)
     if best is None:
         return None
     end_s = now_s + usual_s * best.work_factor(now_s)
@@ -44,7 +67,8 @@
     if is_fast or end_s <= ask.objective_at_s:
         return best
     waited_s = now_s - ask.arrived_s
-    if waited_s > SLOW_WAIT_S and end_s <= ask.deadline_at_s:
+    is_last_resort = waited_s > SLOW_WAIT_S and not takers.has_fast
+    if is_last_resort and end_s <= ask.deadline_at_s:
         return best
     return None
 
--- a/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
@@ -30,12 +30,27 @@
 """Age up to which a report that says warm lifts the pace of a cold server."""
 
 SLOW_WAIT_S = 0.35
-"""Wait after which a slow server is taken, if it meets the deadline.
+"""Wait after which a slow server is taken in a pool without a fast one.
 
 Machines change their speed about every 300 ms; when none became fast within
 that time, the wait is not worth more.
 """
 
+FAST_MEMORY_S = 1.0
+"""Age up to which a report tells that a pool has a fast server: three times
+the pause in which machines change their speed."""
+
+IN_TIME_FACTOR = 1.4
+"""How many times the usual work must fit before the objective for a call to
+count as still in time: nine in ten calls of the first deployments need less.
+
+Calls in time go first, the oldest in front. Counted with their mean work, the
+ones in front of a long queue would be those of which half end late.
+"""
+
+LEAVE_FACTOR = 1.5
+"""The same for staying in the nearest failure domain, whose bytes are free."""
+
 FOREIGN_LOAD_S = 0.4
 """Time that load reported beyond one's own permits is believed.
 
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -6,6 +6,7 @@
 
 from turmericpost_core.grants.backend_use import BackendUse
 from turmericpost_core.grants.limits import (
+    LEAVE_FACTOR,
     PROBES_AT_ONCE,
     RepeatBounds,
     usable_slots,
@@ -62,7 +63,7 @@
         waited_s = now_s - ask.asked_s
         usual_s = self.queue.usual_s(ask)
         if ask.may_leave and waited_s > LEAVE_AFTER_S:
-            if self.queue.is_late(ask, now_s + usual_s / 2):
+            if self.queue.is_late(ask, now_s, LEAVE_FACTOR):
                 return Denied(ask, AskEnd.ELSEWHERE)
         if not ask.may_wait and waited_s > 2 * LEAVE_AFTER_S:
             return Denied(ask, AskEnd.OVERLOADED)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/waiting_asks.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/waiting_asks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from turmericpost_core.grants.limits import (
+    IN_TIME_FACTOR,
     LATENCY_WEIGHT,
     LEAST_WORK_SHARE,
     OBJECTIVE_SHARE,
@@ -91,6 +92,11 @@
             ),
         )
 
-    def is_late(self, ask: Ask, now_s: float) -> bool:
-        """Return whether even usual work would miss the objective."""
-        return now_s + self.usual_s(ask) > ask.objective_at_s
+    def is_late(
+        self,
+        ask: Ask,
+        now_s: float,
+        factor: float = IN_TIME_FACTOR,
+    ) -> bool:
+        """Return whether some times the usual work misses the objective."""
+        return now_s + factor * self.usual_s(ask) > ask.objective_at_s
