Let VMs that start hear from others before they read the store

Change: for 0.3 s after its start a VM that knows no configuration leaves reading to the VMs that its settings name; it greets those ten times in the first second, since they may be starting too. A VM that is named reads at once.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/learning.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/learning.py
@@ -28,6 +28,10 @@
 OLDEST_READ_S = 999.0
 """Age told of a read that never was."""
 
+START_PATIENCE_S = 0.3
+"""Time after its start for which a VM leaves reading to the VMs that its
+settings name: all VMs of a deployment start within as much."""
+
 _READER_SUBJECT = 'store-reader'
 
 
@@ -42,6 +46,8 @@
         view: DomainView,
         pace: ReadPace,
         changed: Callable[[str], None],
+        *,
+        is_first: bool = True,
     ) -> None:
         self.state = FleetState()
         self.reader = StoreReader(
@@ -64,6 +70,8 @@
         )
         self._fetching: dict[str, Knowledge] = {}
         self._hint: tuple[Vm, Knowledge] | None = None
+        patience_s = 0 if is_first else START_PATIENCE_S
+        self._patient_until_s = clock.monotonic_s() + patience_s
         self._read_ages_s: dict[str, tuple[float, float]] = {}
         self._ahead_from_s: dict[str, float] = {}
 
@@ -78,8 +86,14 @@
         )
 
     def is_reader(self) -> bool:
-        """Return whether it is this VM's turn to read the store."""
+        """Return whether it is this VM's turn to read the store.
+
+        A VM that has just started hears from others first, unless it is one
+        of those whom all others ask.
+        """
         now_s = self._clock.monotonic_s()
+        if self.state.config is None and now_s < self._patient_until_s:
+            return False
         own = self._view.own
         ranked = self._view.ranked(_READER_SUBJECT, own.failure_domain, now_s)
         ages_s = {
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -47,6 +47,9 @@
 JOIN_RETRY_S = 1.0
 """Pause between tries to find another VM of the own failure domain."""
 
+GREETINGS = 10
+"""Greetings in that time: one is heard soon after a VM named has started."""
+
 _MS_PER_S = 1000
 _LEAVE_CHECK_S = 0.02
 
@@ -123,6 +126,12 @@
         self._settings = settings
         self.peers.hello(settings.seed_hosts, settings.peer_port)
 
+    @property
+    def _is_first(self) -> bool:
+        """Whether other VMs turn to this one when they start."""
+        seeds = self._settings.seed_hosts
+        return not seeds or self._settings.host in seeds
+
     def _own_vm(self) -> Vm:
         settings = self._settings
         host, port = settings.callers
@@ -146,6 +155,7 @@
             self.view,
             new_read_pace(settings.promises.drain_s),
             self._knowledge_changed,
+            is_first=self._is_first,
         )
         self.state = self.learning.state
         self.peers = Peers(
@@ -260,7 +270,7 @@
                         kind=error.kind.value,
                         detail=error.detail,
                     )
-            await deferLater(self._reactor, JOIN_RETRY_S)
+            await self._greet()
             if is_announced and self._has_company():
                 return
             listed = await self._store.list_vms()
@@ -268,6 +278,14 @@
                 now_s = self.clock.monotonic_s()
                 self.view.told(listed.unwrap(), now_s)
 
+    async def _greet(self) -> None:
+        """Say hello some more times to VMs that may be starting, too."""
+        settings = self._settings
+        for _ in range(GREETINGS):
+            await deferLater(self._reactor, JOIN_RETRY_S / GREETINGS)
+            if not self._has_company():
+                self.peers.hello(settings.seed_hosts, settings.peer_port)
+
     def _has_company(self) -> bool:
         return len(self.view.members(self.clock.monotonic_s())) > 1
 
--- /dev/null
+++ b/packages/turmericpost-entry/tests/fleet/test_learning.py
@@ -0,0 +1,91 @@
+"""Whose turn it is to read, and what is taken from other VMs."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from twisted.internet.testing import MemoryReactorClock
+
+from tests.fleet.test_store_reader import FakeStore
+from tests.fleet.test_update_stream import grown_state
+from tests.harness import FakeClock
+from turmericpost.fleet.learning import START_PATIENCE_S, Learning
+from turmericpost.fleet.messages import Knowledge
+from turmericpost.fleet.update_codec import encode_update
+from turmericpost.observe.events import LogEvent
+from turmericpost_core.fleet.backends import Registration
+from turmericpost_core.fleet.state import KnownVersions
+from turmericpost_core.membership.domain_view import DomainView, Vm
+from turmericpost_core.membership.store_turns import new_read_pace
+
+DRAIN_S = 2.0
+
+
+def vm(name: str, domain: str = 'nasr') -> Vm:
+    return Vm(name, name, 7540, '', domain, 'cairo', 1)
+
+
+class LearningTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reactor = MemoryReactorClock()
+        self.changes: list[str] = []
+        self.learning = self._learning(is_first=False)
+        self.teller = grown_state()
+
+    def _learning(self, *, is_first: bool) -> Learning:
+        return Learning(
+            self.reactor,
+            FakeClock(self.reactor),
+            FakeStore(),
+            DomainView(vm('own')),
+            new_read_pace(DRAIN_S),
+            self.changes.append,
+            is_first=is_first,
+        )
+
+    def test_vm_that_starts_leaves_reading_to_those_all_others_ask(
+        self,
+    ) -> None:
+        """Pattern: all VMs start at once, and each call is billed."""
+        self.assertFalse(self.learning.is_reader())
+        self.assertTrue(self._learning(is_first=True).is_reader())
+        self.reactor.advance(START_PATIENCE_S)
+        self.assertTrue(self.learning.is_reader())
+
+    def test_vm_that_has_learned_takes_its_turn(self) -> None:
+        self._push(self.teller.update_since(KnownVersions()))
+        self.assertEqual(self.changes, ['teller'])
+        self.assertTrue(self.learning.is_reader())
+
+    def test_push_that_does_not_fit_waits_for_the_fetch(self) -> None:
+        told = self.teller.versions
+        gone = Registration(told.backends[0], 'i-0', None)
+        self.teller.directory.fold([gone], 1)
+        self._push(self.teller.update_since(told))
+        self.assertEqual(self.changes, [])
+        self.assertEqual(self.learning.state.versions.config, None)
+
+    def test_push_that_is_not_readable_is_logged(self) -> None:
+        with patch('turmericpost.fleet.learning.log_event') as logged:
+            self.learning.pushed('teller', b'nonsense')
+        self.assertEqual(logged.call_args.args, (LogEvent.UPDATE_FAILED,))
+
+    def test_news_of_the_own_domain_are_fetched_at_once(self) -> None:
+        self.learning.heard(vm('near'), self._ahead())
+        self.assertEqual(len(self.reactor.tcpClients), 1)
+
+    def test_news_of_another_domain_are_left_to_the_own_for_a_moment(
+        self,
+    ) -> None:
+        self.learning.heard(vm('far', 'smouha'), self._ahead())
+        self.assertEqual(self.reactor.tcpClients, [])
+        self.reactor.advance(0.5)
+        self.learning.heard(vm('far', 'smouha'), self._ahead())
+        self.assertEqual(len(self.reactor.tcpClients), 1)
+
+    def _ahead(self) -> Knowledge:
+        return Knowledge(0, 7, (9, 0), 9)
+
+    def _push(self, update: object) -> None:
+        self.learning.pushed('teller', encode_update(update))
