Give the search for other VMs a module of its own

Change: gateway/joining.py announces and greets; event 5007 says why the store did not list the VMs.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -23,6 +23,7 @@
     GatewayCollector,
     GatewayMetrics,
 )
+from turmericpost.gateway.joining import Joining
 from turmericpost.gateway.leaving import LeavePlan, new_leave_plan
 from turmericpost.gateway.ports import limited_settings, new_caller_port
 from turmericpost.gateway.settings import Address, GatewaySettings
@@ -44,12 +45,6 @@
 SWEEP_S = 0.25
 """Pause between looks at idle connections and old state."""
 
-JOIN_RETRY_S = 1.0
-"""Pause between tries to find another VM of the own failure domain."""
-
-GREETINGS = 10
-"""Greetings in that time: one is heard soon after a VM named has started."""
-
 _MS_PER_S = 1000
 _LEAVE_CHECK_S = 0.02
 
@@ -96,7 +91,7 @@
         self._sweeping.start(SWEEP_S).addErrback(log_failure)
         Deferred.fromCoroutine(self._keep_beating()).addErrback(log_failure)
         self.learning.reader.start()
-        Deferred.fromCoroutine(self._join()).addErrback(log_failure)
+        Deferred.fromCoroutine(self._joining.join()).addErrback(log_failure)
         return Ok(None)
 
     async def stop(self) -> None:
@@ -106,6 +101,7 @@
         now_s = self.clock.monotonic_s()
         plan = new_leave_plan(now_s, self._settings.promises.grace_s)
         self._leave = plan
+        self._joining.is_over = True
         log_event(LogEvent.DRAIN_STARTED, in_flight=len(self.calls.in_flight))
         self.view.own_standing = VmStanding.LEAVING
         self._caller_port.is_draining = True
@@ -124,6 +120,7 @@
     def reload(self, settings: GatewaySettings) -> None:
         """Take settings that may change while running: who to join."""
         self._settings = settings
+        self._joining.seed_hosts = settings.seed_hosts
         self.peers.hello(settings.seed_hosts, settings.peer_port)
 
     @property
@@ -176,6 +173,14 @@
             ),
         )
 
+        self._joining = Joining(
+            self._reactor,
+            self.clock,
+            self._store,
+            self.peers,
+            settings.seed_hosts,
+        )
+
     def _build_calls(self) -> None:
         settings = self._settings
         path = new_call_path(
@@ -254,41 +259,6 @@
             pause_s = self.peers.beat_if_due()
             await deferLater(self._reactor, pause_s)
 
-    async def _join(self) -> None:
-        """Find other VMs, by the settings first and then by the store."""
-        settings = self._settings
-        is_announced = False
-        while self._leave is None:
-            self.peers.hello(settings.seed_hosts, settings.peer_port)
-            if not is_announced:
-                announced = await self._store.announce(self.view.own)
-                is_announced = announced.is_ok()
-                if not is_announced:
-                    error = announced.unwrap_err()
-                    log_event(
-                        LogEvent.STORE_WRITE_FAILED,
-                        kind=error.kind.value,
-                        detail=error.detail,
-                    )
-            await self._greet()
-            if is_announced and self._has_company():
-                return
-            listed = await self._store.list_vms()
-            if listed.is_ok():
-                now_s = self.clock.monotonic_s()
-                self.view.told(listed.unwrap(), now_s)
-
-    async def _greet(self) -> None:
-        """Say hello some more times to VMs that may be starting, too."""
-        settings = self._settings
-        for _ in range(GREETINGS):
-            await deferLater(self._reactor, JOIN_RETRY_S / GREETINGS)
-            if not self._has_company():
-                self.peers.hello(settings.seed_hosts, settings.peer_port)
-
-    def _has_company(self) -> bool:
-        return len(self.view.members(self.clock.monotonic_s())) > 1
-
     def _knowledge_changed(self, source: str) -> None:
         """Put into force what has been learned, and tell the others."""
         now_s = self.clock.monotonic_s()
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -67,6 +67,11 @@
     RECORD_INVALID = (5004, Level.WARNING, 'a record names nothing to use')
     READER_CHANGED = (5005, Level.INFO, 'this VM began or ended reading')
     STORE_WRITE_FAILED = (5006, Level.WARNING, 'a write to the store failed')
+    VMS_NOT_LISTED = (
+        5007,
+        Level.WARNING,
+        'the store did not say which VMs announced themselves',
+    )
     KNOWLEDGE_CHANGED = (
         5101,
         Level.INFO,
