--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -33,8 +33,8 @@
 from turmericpost_core.membership.domain_view import Vm
 
 STREAM_S = 1.0
-"""Bound on a stream, connecting aside: the largest update of the grown
-deployments, 60 KB, eight times over a link of 5 Mbit/s."""
+"""Bound on a stream, connecting aside: five times as long as all that a VM
+sends at once takes over a link of 5 Mbit/s."""
 
 CONNECT_S = 0.5
 """Bound on connecting: thirty times the way between regions."""
