Log stated rate limits and the use of the servers that state one

Cause: no line of the logs shows that a server states a limit, nor what its broker gives out for it, so the hypotheses of the incident cannot be told apart. Change: Server-Limit is decoded into RateLimitStatement, kept in a table of the newest statement of each server, logged when it changes (5107), and the attempts, retries and probes of a limited server are logged every 4 s (5108). A gauge counts the servers with a limit. No decision uses the table yet.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 
 from turmericpost_core.fleet.backends import Backend
@@ -37,6 +38,15 @@
     UNHEALTHY = 'ill'
 
 
+@dataclass(slots=True)
+class UseCounts:
+    """Attempts, retries among them, and probes since the broker started."""
+
+    attempts: int = 0
+    retries: int = 0
+    probes: int = 0
+
+
 class BackendState:
     """Permits in use, load reports and health of one backend server.
 
@@ -54,6 +64,7 @@
         self.reports_load = True
         self.is_healthy = True
         self.failure_share = float(0)
+        self.use_counts = UseCounts()
         self._cold_until_s = now_s + backend.cold_left_s
         self._reported_warm_s = _NEVER_S
         self._other_load = 0
@@ -148,6 +159,7 @@
 
     def record_probe_start(self, now_s: float) -> None:
         """Record that a probe was sent."""
+        self.use_counts.probes += 1
         self.probed_s = now_s
         self.probe_pending = True
 
@@ -188,9 +200,13 @@
         self._reported_warm_s = _NEVER_S
         self.reported_s = _NEVER_S
 
-    def record_attempt_start(self, now_s: float) -> None:
+    def record_attempt_start(
+        self, now_s: float, *, is_retry: bool = False
+    ) -> None:
         """Count a permit that was granted for an attempt."""
         self.permits += 1
+        self.use_counts.attempts += 1
+        self.use_counts.retries += is_retry
         self._recent_attempts_s.append(now_s)
 
     def record_attempt_end(self, outcome: AttemptOutcome, now_s: float) -> None:
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -40,6 +40,7 @@
     ReportedLoad,
 )
 from turmericpost_core.grants.pool_state import PoolState, backends_to_probe
+from turmericpost_core.grants.rate_limits import RateLimitTable, pool_of
 
 _PERCENT = 100.0
 
@@ -59,6 +60,7 @@
     def __init__(self, own_name: str, retry_limits: RetryLimits) -> None:
         self.visible_share = float(0)
         self.leads: Callable[[Pool], bool] = _always_leads
+        self.rate_limits = RateLimitTable()
         self._retry_limits = retry_limits
         self._backend_states: dict[str, BackendState] = {}
         self._pools: dict[Pool, PoolState] = {}
@@ -97,7 +99,7 @@
         self._backend_states = backend_states
         by_pool: defaultdict[Pool, list[BackendState]] = defaultdict(list)
         for server in backend_states.values():
-            by_pool[_pool_of(server)].append(server)
+            by_pool[pool_of(server.backend)].append(server)
         for pool in self._pools.keys() | by_pool.keys():
             self._pool(pool).install_backends(by_pool[pool])
 
@@ -177,11 +179,11 @@
             if attempt_report.reported_load is None:
                 server.reports_load = False
             factor = record.slowness_percent / _PERCENT
-            queue = self._pool(_pool_of(server)).queue
+            queue = self._pool(pool_of(server.backend)).queue
             queue.record_service_time(
                 attempt_report.latency_s / factor, record.objective_s
             )
-        return self.decide(now_s, _pool_of(server))
+        return self.decide(now_s, pool_of(server.backend))
 
     def record_probe(
         self,
@@ -203,7 +205,7 @@
         server.record_load(reported_load, now_s, server.permits)
         if reported_load is None:
             server.reports_load = False
-        return self.decide(now_s, _pool_of(server))
+        return self.decide(now_s, pool_of(server.backend))
 
     def record_probe_failure(self, backend_id: str, now_s: float) -> None:
         """Record that a probe of a backend server got no response."""
@@ -251,8 +253,9 @@
             self._release_unused(permit_id, now_s)
 
     def forget_old_requests(self, now_s: float) -> None:
-        """Drop the stored grants of requests whose deadlines have passed."""
+        """Drop grants whose deadlines have passed, and old rate limits."""
         self._permit_table.forget_old_grants(now_s)
+        self.rate_limits.forget_old(now_s)
 
     def _decide_pool(self, pool: Pool, now_s: float) -> Iterator[Decision]:
         pool_state = self._pool(pool)
@@ -311,7 +314,7 @@
             retry_budget.record_call(now_s)
         elif not retry_budget.try_spend(now_s, self._own_share(request.pool)):
             return PermitDenial(request, DenialReason.RETRY_BUDGET)
-        server.record_attempt_start(now_s)
+        server.record_attempt_start(now_s, is_retry=request.is_retry)
         grant = PermitGrant(
             request,
             server.backend,
@@ -382,10 +385,6 @@
     return True
 
 
-def _pool_of(server: BackendState) -> Pool:
-    return server.backend.service, server.backend.failure_domain
-
-
 def _is_new_instance(known: Backend, backend: Backend) -> bool:
     if known.started_ms != backend.started_ms:
         return True
--- a/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
@@ -17,6 +17,7 @@
     AttemptReport,
     ReportedLoad,
 )
+from turmericpost_core.grants.rate_limits import RateLimitStatement
 from turmericpost_core.outcome.ledger import AttemptEnd
 from turmericpost_core.outcome.next_step import AttemptStatus
 
@@ -46,13 +47,15 @@
 class AttemptDependencies:
     """Collaborators of an attempt.
 
-    ``release_permit`` reports the end of the attempt to the broker.
+    ``release_permit`` reports the end of the attempt to the broker,
+    ``record_rate_limit`` what the backend server states about its rate limit.
     """
 
     connections: ServerConnections
     call_codec: CallCodec
     clock: Clock
     release_permit: Callable[[Permit, AttemptReport], None]
+    record_rate_limit: Callable[[Permit, RateLimitStatement], None]
 
 
 class AttemptOwner(Interface):
@@ -215,6 +218,7 @@
             head.has_body,
             head.content_length,
         )
+        self._record_rate_limit(self._response.info)
 
     def response_body_received(self, body: bytes) -> None:
         """Buffer a part of the body, or pass it on if the response streams."""
@@ -277,6 +281,22 @@
         """Resume the request body."""
         self._call.resume_request()
 
+    def _record_rate_limit(self, info: ResponseInfo) -> None:
+        """Record the server's limit, or that it states none any more.
+
+        A response that was not run may lack the limit although it holds.
+        """
+        if self.sent_s is None or info.is_wrong_backend:
+            return
+        if info.requests_per_s is None:
+            if info.not_run or info.has_rate_limit:
+                return
+            statement = RateLimitStatement(None, self.sent_s)
+        else:
+            now_s = self._dependencies.clock.monotonic_s()
+            statement = RateLimitStatement(info.requests_per_s, now_s)
+        self._dependencies.record_rate_limit(self.permit, statement)
+
     def _release_permit(
         self,
         outcome: AttemptOutcome,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/broker_service.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/broker_service.py
@@ -18,6 +18,7 @@
 from turmericpost.fleet.peers import PeerProtocol
 from turmericpost.gateway.probes import BackendProber
 from turmericpost_core.clock import Clock
+from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.permits import (
     AttemptReport,
@@ -28,6 +29,11 @@
     ProbeRequest,
     ReportedLoad,
 )
+from turmericpost_core.grants.rate_limits import (
+    RateLimitStatement,
+    instance_of,
+    pool_of,
+)
 
 QUEUE_CHECK_INTERVAL_S = 0.02
 """Interval at which the broker checks whether queued permit requests can be
@@ -136,6 +142,16 @@
             ),
         )
 
+    def record_rate_limit(
+        self, backend: Backend, requests_per_s: float
+    ) -> None:
+        """Record the rate limit in the response to a probe."""
+        self.broker.rate_limits.record(
+            pool_of(backend),
+            instance_of(backend),
+            RateLimitStatement(requests_per_s, self._clock.monotonic_s()),
+        )
+
     def record_probe_failure(self, backend_id: str) -> None:
         """Record a probe that got no valid response."""
         self.broker.record_probe_failure(backend_id, self._clock.monotonic_s())
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_codec.py
@@ -30,6 +30,9 @@
     ``not_run`` is set if the backend server states that it did not run the
     request, ``is_wrong_backend`` if another one now has its address.
     ``backend_id`` is ``None`` if the response does not name its server.
+    ``requests_per_s`` is the rate that the server accepts from all VMs
+    together, ``None`` if it states none; ``has_rate_limit`` is set, too, if what
+    it states is invalid.
     """
 
     status: int
@@ -37,6 +40,8 @@
     is_wrong_backend: bool
     reported_load: ReportedLoad | None
     backend_id: str | None
+    requests_per_s: float | None = None
+    has_rate_limit: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
@@ -85,6 +85,7 @@
         dependencies.call_codec,
         dependencies.clock,
         permit_client.report,
+        permit_client.record_rate_limit,
     )
     ingress = Ingress(
         dependencies.reactor,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -380,8 +380,17 @@
             'peer_bytes_sent': self.peers.bytes_sent,
             'vms_heard': len(self.view.live_members(self.clock.monotonic_s())),
             'server_report_age_s': self._oldest_report_age_s(),
+            'servers_with_rate_limit': self._count_rate_limits(),
         }
 
+    def _count_rate_limits(self) -> int:
+        """Return how many usable backend servers state a rate limit."""
+        rate_limits = self.call_path.broker_service.broker.rate_limits
+        return sum(
+            rate_limits.limit_of(backend) is not None
+            for backend in self.state.usable_backends()
+        )
+
     def _oldest_report_age_s(self) -> float:
         """Return the age of the oldest load report in seconds, 0 if none.
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
@@ -26,6 +26,11 @@
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.permits import AttemptReport, DenialReason
+from turmericpost_core.grants.rate_limits import (
+    RateLimitStatement,
+    instance_of,
+    pool_of,
+)
 from turmericpost_core.membership.domain_view import Vm
 
 PERMIT_REQUEST_RESEND_S = 0.05
@@ -183,6 +188,14 @@
         else:
             self._broker_service.release_permit(permit.permit_id, report)
 
+    def record_rate_limit(
+        self, permit: Permit, statement: RateLimitStatement
+    ) -> None:
+        """Record what the backend server of a permit states as its limit."""
+        self._broker_service.broker.rate_limits.record(
+            pool_of(permit.backend), instance_of(permit.backend), statement
+        )
+
     def held_permits(self) -> Mapping[str, Mapping[str, str]]:
         """Return the permits held by this VM, by the VM to report them to.
 
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -116,6 +116,16 @@
         Level.INFO,
         'the broker of a pool changed to another VM',
     )
+    BACKEND_LIMIT_CHANGED = (
+        5107,
+        Level.INFO,
+        'a backend server states another rate limit, or none any more',
+    )
+    LIMITED_BACKEND_USED = (
+        5108,
+        Level.INFO,
+        'the use that this broker allowed of a server with a rate limit',
+    )
     UPDATE_FAILED = (
         5103,
         Level.WARNING,
--- a/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from urllib.parse import parse_qs, urlsplit
 
 from turmericpost.gateway.call_codec import (
@@ -29,6 +30,7 @@
 _BACKEND_ID = b'x-instance-id'
 _LOAD = b'x-server-load'
 _WARMUP_LEFT = b'x-warmup-ms'
+_RATE_LIMIT = b'server-limit'
 _REPLACED_FIELDS = frozenset((EXPECT, _DEADLINE, _EXPECTED_BACKEND_ID))
 _CHUNKED = (TRANSFER_ENCODING, b'chunked')
 
@@ -98,6 +100,8 @@
             backend_id=None
             if response_id is None
             else _decode_text(response_id),
+            requests_per_s=_decode_rate_limit(head),
+            has_rate_limit=head.first(_RATE_LIMIT) is not None,
         )
 
     def is_stale_response(self, head: ResponseHead, call_id: str) -> bool:
@@ -171,6 +175,13 @@
     )
 
 
+def _decode_rate_limit(head: ResponseHead) -> float | None:
+    requests_per_s = _parse_number(head.first(_RATE_LIMIT))
+    if requests_per_s is None or not math.isfinite(requests_per_s):
+        return None
+    return requests_per_s if requests_per_s >= 0 else None
+
+
 def _parse_number(text: bytes | None) -> float | None:
     if text is None:
         return None
--- a/packages/turmericpost-entry/tests/gateway/call_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/call_harness.py
@@ -19,6 +19,7 @@
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.operator_config import OperatorRoute, SplitPart
 from turmericpost_core.grants.permits import AttemptOutcome, AttemptReport
+from turmericpost_core.grants.rate_limits import RateLimitStatement
 
 TIMEOUT_S = 2.0
 EXPECTED_S = 0.2
@@ -83,6 +84,7 @@
         self.clock = FakeClock(self.reactor)
         self.connections = FakeConnections()
         self.reports: list[tuple[str, AttemptOutcome]] = []
+        self.rate_limits: list[tuple[str, RateLimitStatement]] = []
         self.permit_requests: list[PermitCriteria] = []
         self.cancelled_request_ids: list[str] = []
         self.statuses: list[int] = []
@@ -93,6 +95,7 @@
             PlatformCallCodec(),
             self.clock,
             self._record_report,
+            self._record_rate_limit,
         )
         self.calls: list[GatewayCall] = []
         self._domains = domains
@@ -200,5 +203,10 @@
         self.calls.append(call)
         call.begin()
 
+    def _record_rate_limit(
+        self, permit: Permit, statement: RateLimitStatement
+    ) -> None:
+        self.rate_limits.append((permit.backend.backend_id, statement))
+
     def _record_report(self, permit: Permit, report: AttemptReport) -> None:
         self.reports.append((permit.backend.backend_id, report.outcome))
--- a/packages/turmericpost-entry/tests/gateway/test_call.py
+++ b/packages/turmericpost-entry/tests/gateway/test_call.py
@@ -35,6 +35,10 @@
     harness.connections.opened[index].connectionLost(Failure(reason))
 
 
+def with_field(response: bytes, field: bytes) -> bytes:
+    return response.replace(b'\r\n', b'\r\n' + field + b'\r\n', 1)
+
+
 class ResponseTest(unittest.TestCase):
     def test_response_is_forwarded_unchanged_and_its_connection_released(
         self,
@@ -171,6 +175,42 @@
         self.assertIn(b'retry-after', harness.received_bytes())
 
 
+class RateLimitTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.harness = CallHarness()
+        self.harness.send_request()
+        self.harness.permit(1)
+        self.harness.reactor.advance(0.1)
+
+    def test_limit_in_a_response_is_recorded(self) -> None:
+        self.harness.send_response(0, with_field(OK, b'Server-Limit: 2.5'))
+        ((backend_id, statement),) = self.harness.rate_limits
+        self.assertEqual(backend_id, 'b1')
+        self.assertEqual(statement.requests_per_s, 2.5)
+
+    def test_response_without_a_limit_counts_from_the_sending(self) -> None:
+        now_s = self.harness.clock.monotonic_s()
+        self.harness.send_response(0, OK)
+        ((_, statement),) = self.harness.rate_limits
+        self.assertIsNone(statement.requests_per_s)
+        self.assertLess(statement.stated_s, now_s)
+
+    def test_response_that_says_nothing_of_the_limit_is_not_recorded(
+        self,
+    ) -> None:
+        for response in (
+            SHED,
+            WRONG_BACKEND,
+            with_field(OK, b'Server-Limit: many'),
+        ):
+            with self.subTest(response):
+                harness = CallHarness()
+                harness.send_request()
+                harness.permit(1)
+                harness.send_response(0, response)
+                self.assertEqual(harness.rate_limits, [])
+
+
 class DeadlineTest(unittest.TestCase):
     def test_deadline_without_a_permit_is_refused_as_not_run(self) -> None:
         harness = CallHarness()
--- a/packages/turmericpost-entry/tests/platform/test_decoding.py
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -226,6 +226,23 @@
             )
             self.assertIsNone(info.reported_load)
 
+    def test_rate_limit_is_a_finite_number_that_is_not_negative(self) -> None:
+        for text, expected in (
+            (b'2.5', 2.5),
+            (b'0', 0),
+            (b'-1', None),
+            (b'nan', None),
+            (b'inf', None),
+            (b'many', None),
+        ):
+            with self.subTest(text):
+                fields = [(b'server-limit', text)]
+                info = self.call_codec.read_response(
+                    ResponseHead(200, fields, True)
+                )
+                self.assertEqual(info.requests_per_s, expected)
+                self.assertTrue(info.has_rate_limit)
+
     def test_response_states_whether_the_call_was_not_run(self) -> None:
         plain = self.call_codec.read_response(ResponseHead(503, [], True))
         self.assertFalse(plain.not_run)
