Keep the request rate that a backend server states

Callers saw nothing yet; a server in need got several times the requests that it had asked for, and would have failed for them. Cause: brokers granted permits by slots, speed and warm-up alone; nobody read the limit. Class: a figure that a server states is read past, while the bound is on the sum over all VMs. Change: the broker of a pool, through which all attempts on its servers go, paces each limited server with a token bucket that is empty when the limit becomes known. Expected waits count a limited server as the slots that its rate keeps busy, so calls are redirected or refused at once instead of queued. A limit of 0 is tried every 4 s, since only a response tells that it has ended. Conclusion: holds for one broker; what other brokers know comes next.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -21,6 +21,7 @@
     usable_slots,
 )
 from turmericpost_core.grants.permits import AttemptOutcome, ReportedLoad
+from turmericpost_core.grants.rate_pacer import RatePacer
 
 _NEVER_S = float('-inf')
 _RATE_WINDOW_S = 1.1
@@ -51,7 +52,8 @@
     """Permits in use, load reports and health of one backend server.
 
     Until a report confirms that the server is warm, attempts are limited to
-    the rate that a cold server tolerates.
+    the rate that a cold server tolerates. ``pacer`` keeps the rate limit that
+    the server states.
     """
 
     def __init__(self, backend: Backend, now_s: float) -> None:
@@ -65,6 +67,7 @@
         self.is_healthy = True
         self.failure_share = float(0)
         self.use_counts = UseCounts()
+        self.pacer = RatePacer()
         self._cold_until_s = now_s + backend.cold_left_s
         self._reported_warm_s = _NEVER_S
         self._other_load = 0
@@ -107,6 +110,8 @@
             return False
         if self._failures and self.permits:
             return False
+        if self.pacer.wait_s(now_s):
+            return False
         return self.is_within_cold_rate(now_s, cold_per_s)
 
     def is_within_cold_rate(self, now_s: float, cold_per_s: float) -> bool:
@@ -205,6 +210,7 @@
     ) -> None:
         """Count a permit that was granted for an attempt."""
         self.permits += 1
+        self.pacer.record_attempt(now_s)
         self.use_counts.attempts += 1
         self.use_counts.retries += is_retry
         self._recent_attempts_s.append(now_s)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -24,7 +24,10 @@
     rank_candidates,
 )
 from turmericpost_core.grants.backend_state import BackendState
-from turmericpost_core.grants.limits import RetryLimits
+from turmericpost_core.grants.limits import (
+    MIN_RATE_LIMIT_SHARE,
+    RetryLimits,
+)
 from turmericpost_core.grants.permit_table import PermitTable
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
@@ -117,6 +120,7 @@
         pool = self._pool(request.pool)
         if request.permit_request_id in pool.queue:
             return ()
+        self._update_rate_limits(request.pool, now_s)
         denial = pool.immediate_denial(request, now_s)
         if denial is not None:
             return (denial,)
@@ -260,6 +264,7 @@
     def _decide_pool(self, pool: Pool, now_s: float) -> Iterator[Decision]:
         pool_state = self._pool(pool)
         ahead = 0
+        self._update_rate_limits(pool, now_s)
         candidates = self._candidates(pool, now_s)
         for request in tuple(pool_state.queue.in_order(now_s)):
             decision = self._decide_request(request, candidates, now_s)
@@ -338,6 +343,12 @@
     def _own_share(self, pool: Pool) -> float:
         return self.visible_share if self.leads(pool) else float(0)
 
+    def _update_rate_limits(self, pool: Pool, now_s: float) -> None:
+        share = max(self._own_share(pool), MIN_RATE_LIMIT_SHARE)
+        for server in self._pool(pool).backend_states:
+            limit = self.rate_limits.limit_of(server.backend)
+            server.pacer.set_limit(limit, share, now_s)
+
     def _probe_requests(
         self, pool: Pool, now_s: float
     ) -> Iterator[ProbeRequest]:
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -29,7 +29,7 @@
 
     def __init__(self, retry_limits: RetryLimits) -> None:
         self.backend_states: tuple[BackendState, ...] = ()
-        self.slots = 0
+        self.slots = float(0)
         self.queue = RequestQueue()
         self._retry_limits = retry_limits
         self._budget: SlidingRetryBudget | None = None
@@ -57,6 +57,26 @@
             if server.has_room(now_s, cold_per_s)
         ]
 
+    def expected_wait_s(
+        self, ahead: int, request: PermitRequest, now_s: float
+    ) -> float:
+        """Return the expected wait in seconds behind ``ahead`` requests.
+
+        A server with a rate limit counts as the slots that its rate keeps busy.
+        """
+        service_time_s = self.queue.typical_service_time_s(request)
+        slots = self.slots
+        for server in self.backend_states:
+            if server.pacer.rate_per_s is not None:
+                usable = usable_slots(server.backend.slots)
+                busy = server.pacer.rate_per_s * service_time_s
+                slots -= max(usable - busy, 0)
+        queue_wait_s = self.queue.wait_s(ahead, slots, request, now_s)
+        next_start_s = min(
+            state.pacer.wait_s(now_s) for state in self.backend_states
+        )
+        return max(queue_wait_s, next_start_s)
+
     def immediate_denial(
         self, request: PermitRequest, now_s: float
     ) -> PermitDenial | None:
@@ -66,11 +86,10 @@
         end before its deadline; if the request may be redirected, before its
         latency objective.
         """
-        slots = self.slots
-        if not slots:
+        if not self.slots:
             return PermitDenial(request, DenialReason.NO_BACKEND)
         queue = self.queue
-        wait_s = queue.wait_s(len(queue), slots, request, now_s)
+        wait_s = self.expected_wait_s(len(queue), request, now_s)
         end_s = now_s + wait_s + queue.typical_service_time_s(request)
         if request.may_redirect and end_s > request.objective_at_s:
             return PermitDenial(request, DenialReason.OTHER_DOMAIN)
@@ -100,7 +119,7 @@
                 request
             ):
                 return PermitDenial(request, DenialReason.OVERLOADED)
-        wait_s = self.queue.wait_s(ahead, self.slots, request, now_s)
+        wait_s = self.expected_wait_s(ahead, request, now_s)
         if (
             ahead
             and now_s + wait_s + typical_service_time_s > request.deadline_at_s
--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -82,7 +82,7 @@
         self._last_grant_s = now_s if is_backlog else None
 
     def wait_s(
-        self, ahead: int, slots: int, request: PermitRequest, now_s: float
+        self, ahead: int, slots: float, request: PermitRequest, now_s: float
     ) -> float:
         """Return the expected wait in seconds behind ``ahead`` requests.
 
