Pass stated rate limits to the brokers ahead of permit requests

Callers saw nothing yet; after a change of the broker, or from a VM whose answers came through another broker, a limit was known only where its answer arrived. Cause: the VM that gets a response learns the limit, while the broker decides. A broker that has started, taken over or sees half of its domain knows nothing. Change: a VM sends the limits that it knows ahead of its permit requests, and each statement to the broker of the permit; a broker sends a limit ahead of the permit, so that its holder can tell when the limit has ended. Evidence: 100 seeded histories of three VMs with split views, restarts and lost messages. The same check fails if the limits are not passed on, and if each broker uses the whole limit. Over sockets, two VMs of two domains, one server. Conclusion: who may pass the limit brings it along, so no broker decides without.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/rate_limits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_limits.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -50,12 +49,14 @@
 
         0 means that the server accepts no requests.
         """
-        statement = self._statements[pool_of(backend)].get(instance_of(backend))
+        statement = self.statement_of(backend)
         return None if statement is None else statement.requests_per_s
 
-    def in_force(
-        self, pool: Pool
-    ) -> Mapping[BackendInstance, RateLimitStatement]:
+    def statement_of(self, backend: Backend) -> RateLimitStatement | None:
+        """Return the newest statement of a server, ``None`` if unknown."""
+        return self._statements[pool_of(backend)].get(instance_of(backend))
+
+    def in_force(self, pool: Pool) -> dict[BackendInstance, RateLimitStatement]:
         """Return the statements of a pool's servers that state a limit."""
         return {
             instance: statement
--- a/packages/turmericpost-core/tests/grants/test_rate_limits.py
+++ b/packages/turmericpost-core/tests/grants/test_rate_limits.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 from tests.grants.history import max_count_in_window
+from tests.grants.rate_limit_history import RateLimitSimulation
 from tests.grants.samples import backend, new_broker, new_request, reported_load
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
@@ -30,6 +32,7 @@
 _STEP_S = 0.02
 _STEPS_PER_CALL = 5
 _SERVICE_TIME_S = 0.06
+_RUNS = 100
 
 
 def record(
@@ -138,3 +141,30 @@
                 self._in_flight.append(
                     (now_s + _SERVICE_TIME_S, decision.permit_id)
                 )
+
+
+# Guards against a limit that only one of several brokers keeps, or that a
+# broker forgets with its restart.
+class LimitHistoryTest(unittest.TestCase):
+    def test_limits_are_kept_in_split_views_and_through_restarts(self) -> None:
+        attempts = 0
+        for seed in range(_RUNS):
+            events = RateLimitSimulation(seed).run()
+            attempts += sum(map(len, events.attempts_s.values()))
+            self.assertFalse(events.exceeds_a_limit(), seed)
+        self.assertGreater(attempts, 10 * _RUNS)
+
+    def test_check_detects_limits_that_are_not_passed_on(self) -> None:
+        with patch.object(RateLimitTable, 'in_force', return_value={}):
+            self.assertTrue(_any_exceeds())
+
+    def test_check_detects_brokers_that_use_the_whole_limit_each(self) -> None:
+        with patch('turmericpost_core.grants.broker.MIN_RATE_LIMIT_SHARE', 1):
+            self.assertTrue(_any_exceeds())
+
+
+def _any_exceeds() -> bool:
+    return any(
+        RateLimitSimulation(seed).run().exceeds_a_limit()
+        for seed in range(_RUNS)
+    )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -25,9 +25,11 @@
     PermitMessage,
     PermitRequestMessage,
     QueuedMessage,
+    RateLimitsMessage,
     StateVersion,
     UpdatePush,
 )
+from turmericpost.fleet.rate_limit_codec import decode_rate_limits
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
@@ -168,6 +170,7 @@
     CancelMessage,
     FinishMessage,
     UpdatePush,
+    RateLimitsMessage,
 )
 _DECODERS: tuple[Callable[[Any], Message], ...] = (
     _decode_heartbeat,
@@ -180,4 +183,5 @@
     lambda fields: CancelMessage(*fields),
     _decode_finish,
     lambda fields: UpdatePush(*fields),
+    decode_rate_limits,
 )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
@@ -142,6 +142,31 @@
     attempt_report: AttemptReport
 
 
+@dataclass(frozen=True, slots=True)
+class StatedRateLimit:
+    """What a backend server stated about its rate limit ``age_s`` seconds ago.
+
+    ``requests_per_s`` is ``None`` if it states no limit any more.
+    """
+
+    backend_id: str
+    started_ms: int
+    requests_per_s: float | None
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitsMessage:
+    """Rate limits of backend servers of a pool.
+
+    Sent to a broker ahead of permit requests, and by it ahead of a permit.
+    """
+
+    service: str
+    failure_domain: str
+    limits: tuple[StatedRateLimit, ...]
+
+
 Message: TypeAlias = (
     Heartbeat
     | KnownVms
@@ -153,4 +178,5 @@
     | DenialMessage
     | CancelMessage
     | FinishMessage
+    | RateLimitsMessage
 )
--- a/packages/turmericpost-entry/src/turmericpost/gateway/broker_service.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/broker_service.py
@@ -17,6 +17,7 @@
 )
 from turmericpost.fleet.peers import PeerProtocol
 from turmericpost.gateway.probes import BackendProber
+from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.broker import Broker
@@ -29,11 +30,7 @@
     ProbeRequest,
     ReportedLoad,
 )
-from turmericpost_core.grants.rate_limits import (
-    RateLimitStatement,
-    instance_of,
-    pool_of,
-)
+from turmericpost_core.grants.rate_limits import RateLimitStatement
 
 QUEUE_CHECK_INTERVAL_S = 0.02
 """Interval at which the broker checks whether queued permit requests can be
@@ -69,6 +66,7 @@
         broker: Broker,
         peers: PeerProtocol,
         prober: BackendProber,
+        rate_limits: RateLimitExchange,
     ) -> None:
         self.broker = broker
         self.local_listener: LocalPermitListener | None = None
@@ -76,6 +74,7 @@
         self._clock = clock
         self._peers = peers
         self._prober = prober
+        self._rate_limits = rate_limits
         self._own_name = peers.view.own.name
         self._requester_addresses: dict[str, tuple[str, int]] = {}
         self._is_check_scheduled = False
@@ -146,10 +145,9 @@
         self, backend: Backend, requests_per_s: float
     ) -> None:
         """Record the rate limit in the response to a probe."""
-        self.broker.rate_limits.record(
-            pool_of(backend),
-            instance_of(backend),
-            RateLimitStatement(requests_per_s, self._clock.monotonic_s()),
+        now_s = self._clock.monotonic_s()
+        self._rate_limits.record(
+            backend, RateLimitStatement(requests_per_s, now_s)
         )
 
     def record_probe_failure(self, backend_id: str) -> None:
@@ -196,6 +194,11 @@
             grant.expected_s,
         )
         if grant.request.requester != self._own_name:
+            address = self._requester_addresses.get(
+                grant.request.permit_request_id
+            )
+            if address is not None:
+                self._rate_limits.send_backend(*address, grant.backend)
             self._reply(grant.request.permit_request_id, message)
         elif self.local_listener is not None:
             self.local_listener.permit_received(message)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
@@ -16,6 +16,7 @@
 from turmericpost.gateway.leadership import Leadership
 from turmericpost.gateway.permit_client import PermitClient
 from turmericpost.gateway.probes import BackendProber
+from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
 from turmericpost.gateway.settings import GatewaySettings
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.state import FleetState
@@ -40,6 +41,7 @@
     backend_status_log: BackendStatusLog
     connections: ServerConnections
     prober: BackendProber
+    rate_limits: RateLimitExchange
 
 
 @dataclass(frozen=True)
@@ -67,18 +69,23 @@
     )
     broker = _new_broker(dependencies)
     broker.leads = Leadership(dependencies.clock, dependencies.peers.view).leads
+    rate_limits = RateLimitExchange(
+        dependencies.clock, dependencies.peers, broker.rate_limits
+    )
     broker_service = BrokerService(
         dependencies.reactor,
         dependencies.clock,
         broker,
         dependencies.peers,
         prober,
+        rate_limits,
     )
     permit_client = PermitClient(
         dependencies.reactor,
         dependencies.clock,
         dependencies.peers,
         broker_service,
+        rate_limits,
     )
     attempt_dependencies = AttemptDependencies(
         connections,
@@ -95,16 +102,14 @@
         dependencies.settings,
         dependencies.metrics,
     )
-    backend_status_log = BackendStatusLog(
-        dependencies.clock, broker, dependencies.peers
-    )
     return CallPath(
         ingress,
         permit_client,
         broker_service,
-        backend_status_log,
+        BackendStatusLog(dependencies.clock, broker, dependencies.peers),
         connections,
         prober,
+        rate_limits,
     )
 
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -331,6 +331,7 @@
         self._pushed_versions = self.state.versions
 
     def _message_received(self, host: str, message: Message) -> None:
+        self.call_path.rate_limits.message_received(message)
         self.call_path.broker_service.message_received(host, message)
         self.call_path.permit_client.message_received(message)
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
@@ -23,14 +23,11 @@
     issuing_vm,
     read_permit_request,
 )
+from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.permits import AttemptReport, DenialReason
-from turmericpost_core.grants.rate_limits import (
-    RateLimitStatement,
-    instance_of,
-    pool_of,
-)
+from turmericpost_core.grants.rate_limits import RateLimitStatement
 from turmericpost_core.membership.domain_view import Vm
 
 PERMIT_REQUEST_RESEND_S = 0.05
@@ -142,11 +139,13 @@
         clock: Clock,
         peers: PeerProtocol,
         broker_service: BrokerService,
+        rate_limits: RateLimitExchange,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._peers = peers
         self._broker_service = broker_service
+        self._rate_limits = rate_limits
         self._own_vm = peers.view.own
         self._pending: dict[str, _PendingRequest] = {}
         self._held_permits: dict[str, Permit] = {}
@@ -191,10 +190,13 @@
     def record_rate_limit(
         self, permit: Permit, statement: RateLimitStatement
     ) -> None:
-        """Record what the backend server of a permit states as its limit."""
-        self._broker_service.broker.rate_limits.record(
-            pool_of(permit.backend), instance_of(permit.backend), statement
-        )
+        """Record what a permit's backend server states, and tell the broker."""
+        self._rate_limits.record(permit.backend, statement)
+        vm = self._find_vm(permit.broker)
+        if vm is not None and vm.name != self._own_vm.name:
+            self._rate_limits.send_backend(
+                vm.host, vm.peer_port, permit.backend
+            )
 
     def held_permits(self) -> Mapping[str, Mapping[str, str]]:
         """Return the permits held by this VM, by the VM to report them to.
@@ -272,6 +274,9 @@
         if broker.name == self._own_vm.name:
             self._broker_service.request(read_permit_request(message, now_s))
         else:
+            criteria = pending.criteria
+            pool = (criteria.service, criteria.failure_domain)
+            self._rate_limits.send_pool(broker.host, broker.peer_port, pool)
             self._peers.send(broker, message)
 
     def _schedule_check(self) -> None:
--- a/packages/turmericpost-entry/tests/gateway/test_fleet.py
+++ b/packages/turmericpost-entry/tests/gateway/test_fleet.py
@@ -72,6 +72,29 @@
 
         self.assertEqual(self.fleet.run(steps), 0)
 
+    # Guards against VMs of two failure domains that each use the whole limit.
+    def test_stated_rate_limit_holds_for_all_vms_together(self) -> None:
+        self.fleet.configure(1, route('/a/'))
+        server = self.fleet.add_backend('b1')
+        server.faults.requests_per_s = 2
+
+        async def steps() -> None:
+            await self.fleet.ready()
+            end_s = self.fleet.reactor.seconds() + 6
+            while self.fleet.reactor.seconds() < end_s:
+                for vm in (0, 1):
+                    Deferred.fromCoroutine(self.fleet.call(vm))
+                await self.fleet.pause(0.1)
+
+        self.fleet.run(steps)
+        runs_s = [run.begun_s for run in server.runs]
+        most = max(
+            sum(begin_s <= run_s <= begin_s + 4 for run_s in runs_s)
+            for begin_s in runs_s
+        )
+        self.assertLessEqual(most, 1.5 * 2 * 4 + 5)
+        self.assertGreater(len(runs_s), 5)
+
     def test_evacuated_domain_gets_no_calls_until_it_is_restored(self) -> None:
         self.fleet.configure(1, route('/a/'))
         near = self.fleet.add_backend('b1', 'nasr')
--- a/packages/turmericpost-entry/tests/gateway/test_permit_client.py
+++ b/packages/turmericpost-entry/tests/gateway/test_permit_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.testing import MemoryReactorClock
@@ -16,18 +17,26 @@
     PermitMessage,
     PermitRequestMessage,
     QueuedMessage,
+    RateLimitsMessage,
+    StatedRateLimit,
 )
 from turmericpost.gateway.permit_client import (
     BROKER_TIMEOUT_S,
     PERMIT_REQUEST_RESEND_S,
+    Permit,
     PermitClient,
     PermitCriteria,
 )
+from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
     DenialReason,
 )
+from turmericpost_core.grants.rate_limits import (
+    RateLimitStatement,
+    RateLimitTable,
+)
 from turmericpost_core.membership.domain_view import DomainView, Vm, VmReadiness
 
 _STEP_S = 0.02
@@ -45,6 +54,9 @@
     def send(self, to: Vm, message: Any) -> None:
         self.sent.append((to.name, message))
 
+    def send_to(self, host: str, _port: int, message: Any) -> None:
+        self.sent.append((host, message))
+
 
 class FakeBrokerService:
     def __init__(self) -> None:
@@ -87,11 +99,15 @@
         self.view = view
         self.peers = FakePeers(view)
         self.broker_service = FakeBrokerService()
+        self.rate_limits = RateLimitExchange(
+            self.clock, self.peers, RateLimitTable()
+        )
         self.client = PermitClient(
             self.reactor,
             self.clock,
             self.peers,
             self.broker_service,
+            self.rate_limits,
         )
         self.listener = FakeListener()
         now_s = self.clock.monotonic_s()
@@ -163,6 +179,45 @@
             self.peers.sent,
         )
 
+    # Guards against a broker that has just started or taken over and grants
+    # permits without knowing the limits that the requesters have seen.
+    def test_known_limits_are_sent_ahead_of_a_permit_request(self) -> None:
+        now_s = self.clock.monotonic_s()
+        permit = self._held_permit()
+        self.client.record_rate_limit(permit, RateLimitStatement(2.5, now_s))
+        self.reactor.advance(1)
+        self.peers.sent.clear()
+        self.client.request_permit(self.criteria, self.listener)
+        (limits, request) = [message for _, message in self.peers.sent]
+        self.assertEqual(
+            limits,
+            RateLimitsMessage(
+                self.criteria.service,
+                'nasr',
+                (StatedRateLimit('b1', 1, 2.5, 1),),
+            ),
+        )
+        self.assertIsInstance(request, PermitRequestMessage)
+
+    def test_broker_is_told_when_a_limit_has_ended(self) -> None:
+        now_s = self.clock.monotonic_s()
+        permit = self._held_permit()
+        self.rate_limits.record(permit.backend, RateLimitStatement(2, now_s))
+        self.reactor.advance(1)
+        self.peers.sent.clear()
+        self.client.record_rate_limit(
+            permit, RateLimitStatement(None, now_s + 1)
+        )
+        ((name, message),) = self.peers.sent
+        self.assertEqual(name, self.first_broker)
+        self.assertIsNone(message.limits[0].requests_per_s)
+
+    def test_server_without_a_limit_needs_no_message(self) -> None:
+        permit = self._held_permit()
+        self.peers.sent.clear()
+        self.client.record_rate_limit(permit, RateLimitStatement(None, 1))
+        self.assertEqual(self.peers.sent, [])
+
     def test_duplicate_permit_message_is_ignored(self) -> None:
         self.client.request_permit(self.criteria, self.listener)
         self.client.message_received(self._permit())
@@ -208,6 +263,16 @@
                 return service
         raise AssertionError('every broker is this VM')
 
+    def _held_permit(self) -> Permit:
+        self.client.request_permit(self.criteria, self.listener)
+        permit_message = replace(
+            self._permit(),
+            backend=replace(backend(1), service=self.criteria.service),
+        )
+        self.client.message_received(permit_message)
+        (permit,) = self.listener.permits
+        return permit
+
     def _permit(self) -> PermitMessage:
         return PermitMessage(
             self.listener.request_ids[0],
--- a/packages/turmericpost-entry/tests/platform/test_decoding.py
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 
+import msgpack
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -19,6 +20,8 @@
     PermitMessage,
     PermitRequestMessage,
     QueuedMessage,
+    RateLimitsMessage,
+    StatedRateLimit,
     StateVersion,
 )
 from turmericpost.fleet.update_codec import decode_update, encode_update
@@ -256,6 +259,26 @@
 
 
 class DatagramTest(unittest.TestCase):
+    def test_rate_limits_are_unchanged_by_encoding_and_decoding(self) -> None:
+        for requests_per_s in (2.5, 0, None):
+            message = RateLimitsMessage(
+                'press', 'nasr', (StatedRateLimit('b1', 1, requests_per_s, 3),)
+            )
+            decoded = decode_message(encode_message(message))
+            self.assertEqual(decoded.unwrap(), message)
+
+    def test_invalid_rate_limit_makes_the_message_malformed(self) -> None:
+        for stated in (
+            ('b1', 1, float('nan'), 0),
+            ('b1', 1, -1, 0),
+            ('b1', 1, 2, float('inf')),
+            ('b1', 1, 'two', 0),
+            ('b1', 1, 2),
+        ):
+            with self.subTest(stated):
+                wire = msgpack.packb([10, ['press', 'nasr', [stated]]])
+                self.assertTrue(decode_message(wire).is_err())
+
     def test_messages_are_unchanged_by_encoding_and_decoding(self) -> None:
         for message in (
             Heartbeat(_VM, VmReadiness.READY, _STATE_VERSION, {'g': 'b1'}, {}),
--- a/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
@@ -48,6 +48,7 @@
     - ``is_ill``, ``is_draining``: health probes get status 503.
     - ``slowness_percent``: processing time, in percent of the normal one.
     - ``closes``: every response closes its connection.
+    - ``requests_per_s``: the rate limit that responses state, if any.
     """
 
     lose_answers: int = 0
@@ -58,6 +59,7 @@
     is_draining: bool = False
     slowness_percent: int = _NORMAL_SLOWNESS_PERCENT
     closes: bool = False
+    requests_per_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -260,6 +262,8 @@
             self.faults.slowness_percent,
         )
         request.setHeader(b'x-server-load', ','.join(map(str, load_figures)))
+        if self.faults.requests_per_s is not None:
+            request.setHeader(b'server-limit', str(self.faults.requests_per_s))
 
     def _cancel(self, _failure: object, request: Request) -> None:
         """Drop a running or queued request whose connection closed."""
