Deny queued permit requests of a pool whose servers have all left

Callers saw calls of other pools of the same broker wait until their deadline. Cause: the expected wait divides by the number of slots; with none it raised, in each decision over all pools, as long as the request was queued. Evidence: the test raised ZeroDivisionError before (ValueError since the limits count in the wait). Change: such a request is denied at once, as a new one already was.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -109,6 +109,8 @@
         ``ahead`` is the number of requests in front of it. Returns ``None``
         if the request should keep waiting.
         """
+        if not self.slots:
+            return PermitDenial(request, DenialReason.NO_BACKEND)
         waited_s = now_s - request.requested_s
         typical_service_time_s = self.queue.typical_service_time_s(request)
         if request.may_redirect and waited_s > REDIRECT_AFTER_S:
--- a/packages/turmericpost-core/tests/grants/test_broker.py
+++ b/packages/turmericpost-core/tests/grants/test_broker.py
@@ -76,6 +76,16 @@
         self.assertFalse(grants_in(probe_backend(broker, 0, 0.3, 400)))
         self.assertEqual(len(grants_in(probe_backend(broker, 0, 0.4, 400))), 1)
 
+    # Guards against an exception that stopped the decisions about all pools
+    # while requests were queued for a pool whose servers had all left.
+    def test_queued_request_is_denied_when_the_last_server_leaves(self) -> None:
+        broker = new_broker(1)
+        broker.request(new_request(1, 0), 0)
+        broker.install_backends([], 0.1)
+        (denial,) = denials_in(broker.decide(0.1))
+        self.assertEqual(denial.reason, DenialReason.NO_BACKEND)
+        self.assertFalse(broker.has_waiting)
+
     def test_no_server_gets_more_than_its_usable_slots(self) -> None:
         broker = new_broker(1)
         for number in range(5):
