Give up responses that consist of heads or framing without end

Callers saw nothing until the process was killed for its memory: a server in trouble may send a head, interim responses or trailers without end. Cause: the parser's sink kept every field, and nothing bounded the bytes outside a body but the deadline of the call (6 s at the link's speed). Change: more than 65,536 bytes without any of the body fail the response as malformed and abort the connection; the outcome of a sent request is unknown.

--- a/packages/turmericpost-entry/src/turmericpost/http1/client.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/client.py
@@ -14,6 +14,13 @@
 from turmericpost.http1.heads import KEEP_ALIVE, Headers, ResponseHead
 from turmericpost_core.outcome.ledger import AttemptEnd
 
+MAX_OVERHEAD_BYTES = 65536
+"""Maximum number of bytes of a response without any of its body.
+
+This limits heads, interim responses, trailers and framing. Heads of the
+deployments have less than 1 kB.
+"""
+
 _FIRST_FINAL_STATUS = 200
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -62,6 +69,7 @@
         self._is_head_request = False
         self._headers: Headers = []
         self._in_head = False
+        self._overhead_bytes = 0
         self._response_started = False
         self._skip_message = False
         self._skipped_stale_response = False
@@ -78,6 +86,7 @@
         """Start a request whose response goes to the receiver."""
         self._receiver = receiver
         self._is_head_request = to_head_request
+        self._overhead_bytes = 0
         self._response_started = False
 
     def write(self, wire: bytes) -> None:
@@ -112,10 +121,13 @@
         if self._receiver is None:
             self.cancel()
             return
+        self._overhead_bytes += len(data)
         if self._parser.feed(data).is_err():
             self._fail(AttemptEnd.MALFORMED)
         elif self._response_ended:
             self._finish()
+        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail(AttemptEnd.MALFORMED)
 
     def connectionLost(
         self,
@@ -173,6 +185,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the receiver."""
+        self._overhead_bytes = 0
         if self._skip_message or self._response_ended:
             return
         if self._receiver is not None:
