Take no response without the id of its call for the call's response

Callers of a server that writes an earlier refusal once more were told that their call was not run while the server ran it, or the call ran at a second server. Cause: only another id made a response stale. A refused probe has no id, and probes share connections with calls, so its refusal, written once more, was taken for the call's; a probe took any response. Evidence: of three forms of an earlier refusal, those without an id were believed and the call was retried; a connection lost after one was answered 503 in place of 502. Copies with another id were skipped before, too. Change: servers repeat the id of a request in each response, so a response without the id of the call is skipped and its connection used no more; a probe skips responses that have an id. The stand-in repeats the id in its refusals and the tests' refusals have one, as the servers' do. Conclusion: not-run is believed only from the response to this very request.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
@@ -205,7 +205,7 @@
             self._call.attempt_failed(self, AttemptStatus.NOT_SENT, detail)
 
     def is_stale_response(self, head: ResponseHead) -> bool:
-        """Return whether the response belongs to an earlier call."""
+        """Return whether the response belongs to an earlier request."""
         return self._dependencies.call_codec.is_stale_response(
             head, self._call.call_id
         )
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_codec.py
@@ -77,7 +77,10 @@
         """Decode the head of a backend server's response."""
 
     def is_stale_response(self, head: ResponseHead, call_id: str) -> bool:
-        """Return whether a response has the request id of another call."""
+        """Return whether a response does not have the request id of the call.
+
+        ``call_id`` is empty for a call without an id and for a probe.
+        """
 
     def read_address_query(
         self,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/probes.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/probes.py
@@ -69,6 +69,10 @@
         timer = self._reactor.callLater(PROBE_TIMEOUT_S, probe.time_out)
         probe.begin(self._connections, timer)
 
+    def is_stale_response(self, head: ResponseHead) -> bool:
+        """Return whether a response has the request id of a call."""
+        return self._call_codec.is_stale_response(head, '')
+
     def probe_completed(
         self,
         backend: Backend,
@@ -140,8 +144,8 @@
         self._fail()
 
     def is_stale_response(self, head: ResponseHead) -> bool:
-        """Return false, since probes have no request id to compare."""
-        return False
+        """Return whether the response belongs to an earlier call."""
+        return self._prober.is_stale_response(head)
 
     def response_head_received(self, head: ResponseHead) -> None:
         """Store the head of the response."""
--- a/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
@@ -105,13 +105,12 @@
         )
 
     def is_stale_response(self, head: ResponseHead, call_id: str) -> bool:
-        """Return whether a response has the request id of another call."""
-        response_id = head.first(_CALL_ID)
-        return (
-            bool(call_id)
-            and response_id is not None
-            and _decode_text(response_id) != call_id
-        )
+        """Return whether a response lacks the request id of the call.
+
+        Backend servers repeat the id in each response, so one without it
+        belongs to a probe or to no request.
+        """
+        return _decode_text(head.first(_CALL_ID)) != call_id
 
     def read_address_query(
         self,
--- a/packages/turmericpost-entry/tests/gateway/test_call.py
+++ b/packages/turmericpost-entry/tests/gateway/test_call.py
@@ -17,10 +17,12 @@
     b'X-Response-Stamp: s1\r\nContent-Length: 2\r\n\r\nhi'
 )
 SHED = (
-    b'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Response-Stamp: s2\r\n'
-    b'Content-Length: 0\r\n\r\n'
+    b'HTTP/1.1 503 Busy\r\nX-Request-Id: id1\r\nX-Not-Executed: 1\r\n'
+    b'X-Response-Stamp: s2\r\nContent-Length: 0\r\n\r\n'
+)
+WRONG_BACKEND = (
+    b'HTTP/1.1 421 Other\r\nX-Request-Id: id1\r\nContent-Length: 0\r\n\r\n'
 )
-WRONG_BACKEND = b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n'
 ERROR = (
     b'HTTP/1.1 500 Error\r\nX-Request-Id: id1\r\n'
     b'X-Response-Stamp: s3\r\nContent-Length: 0\r\n\r\n'
@@ -66,6 +68,33 @@
         self.assertTrue(harness.received_bytes().endswith(b'hi'))
         self.assertEqual(harness.connections.released, [])
 
+    # Guards against an earlier refusal, written once more on a kept connection,
+    # that was taken as the response to a call that the server was running.
+    def test_refusal_of_an_earlier_request_is_skipped(self) -> None:
+        for earlier in (
+            SHED.replace(b'id1', b'id0'),
+            SHED.replace(b'X-Request-Id: id1\r\n', b''),
+            WRONG_BACKEND.replace(b'X-Request-Id: id1\r\n', b''),
+        ):
+            with self.subTest(earlier):
+                harness = CallHarness(is_idempotent=False)
+                harness.send_request('POST', b'order')
+                harness.permit(1)
+                harness.send_response(0, earlier)
+                self.assertEqual(len(harness.permit_requests), 1)
+                self.assertEqual(harness.received_bytes(), b'')
+                harness.send_response(0, OK)
+                self.assertEqual(harness.statuses, [200])
+                self.assertEqual(harness.connections.released, [])
+
+    def test_lost_connection_after_an_earlier_refusal_is_unknown(self) -> None:
+        harness = CallHarness(is_idempotent=False)
+        harness.send_request('POST', b'order')
+        harness.permit(1)
+        harness.send_response(0, SHED.replace(b'X-Request-Id: id1\r\n', b''))
+        lose_connection(harness, 0)
+        self.assertTrue(harness.received_bytes().startswith(b'HTTP/1.1 502'))
+
     def test_bytes_after_the_response_are_dropped_with_the_connection(
         self,
     ) -> None:
--- a/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
@@ -250,6 +250,9 @@
             self._respond_with_error(request, _SERVICE_UNAVAILABLE)
 
     def _respond_with_error(self, request: Request, status: int) -> None:
+        request.setHeader(
+            b'x-request-id', request.getHeader(b'x-request-id') or b''
+        )
         request.setResponseCode(status)
         request.setHeader(b'content-length', b'0')
         request.finish()
