Reserve the ports of entry processes in tests

Four tests failed at times in setUp, the cluster not ready. Cause: a port was picked, let go and bound by the entry process later; another process or an outgoing connection could get it in between. Change: the port stays bound by a socket that does not listen and lets its address be reused, so the system gives it to nobody who asks for any port.

--- a/packages/turmericpost-entry/tests/gateway/fleet_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/fleet_harness.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -26,6 +25,7 @@
 )
 from turmericpost.platform.call_headers import PlatformCallCodec
 from turmericpost.platform.store_client import StoreClient
+from turmericpost_standins.platform import ReservedPort
 from turmericpost_standins.platform_backend import (
     PlatformBackend,
     PlatformBackendSpec,
@@ -68,7 +68,8 @@
         self.backends: dict[str, PlatformBackend] = {}
         self.nodes: list[GatewayNode] = []
         self.addresses: dict[str, str] = {}
-        self._ports = _free_ports(5)
+        self._reserved_ports = [ReservedPort() for _ in range(5)]
+        self._ports = [reserved.number for reserved in self._reserved_ports]
         self._requests = 0
         self._store_port = self._listen(self.store)
         for number in range(vms):
@@ -193,6 +194,8 @@
         self.reactor.callWhenRunning(begin)
         self.reactor.callLater(40, self.reactor.stop)
         self.reactor.run(installSignalHandlers=False)
+        for reserved in self._reserved_ports:
+            reserved.release()
         if ended and isinstance(ended[0], Failure):
             ended[0].raiseException()
         return ended[0]
@@ -238,13 +241,3 @@
 def _host(number: int) -> str:
     last = number + 11
     return f'127.0.0.{last}'
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for bound_socket in sockets:
-        bound_socket.bind(('127.0.0.1', 0))
-    ports = [int(bound_socket.getsockname()[1]) for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
--- a/packages/turmericpost-standins/src/turmericpost_standins/experiment/measure.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/experiment/measure.py
@@ -17,7 +17,7 @@
     kill_process,
     wait_until,
 )
-from turmericpost_standins.platform import free_port
+from turmericpost_standins.platform import ReservedPort
 
 _LOOPBACK = '127.0.0.1'
 _CALL_RATES_PER_S = (100, 200, 400)
@@ -149,7 +149,8 @@
 
 @contextmanager
 def _running_baseline(backend_port: int) -> Iterator[tuple[int, int]]:
-    port = free_port()
+    reserved = ReservedPort()
+    port = reserved.number
     process: subprocess.Popen[Any] = subprocess.Popen(
         (
             sys.executable,
@@ -165,6 +166,7 @@
     wait_until(lambda: _accepts_connections(port))
     yield process.pid, port
     kill_process(process)
+    reserved.release()
 
 
 def _accepts_connections(port: int) -> bool:
--- a/packages/turmericpost-standins/src/turmericpost_standins/experiment/processes.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/experiment/processes.py
@@ -15,7 +15,7 @@
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
-from turmericpost_standins.platform import free_port
+from turmericpost_standins.platform import ReservedPort
 
 _WAIT_TIMEOUT_S = 30
 _POLL_INTERVAL_S = 0.05
@@ -91,13 +91,17 @@
     """A ``turmericpost serve`` process on loopback ports."""
 
     def __init__(self, endpoints: dict[str, Any], domain: str) -> None:
-        self.caller_port = free_port()
-        self.admin_port = free_port()
-        self.name = f'{_LOOPBACK}:{free_port()}'
+        self._reserved_ports = [ReservedPort() for _ in range(3)]
+        caller_port, admin_port, peer_port = (
+            reserved.number for reserved in self._reserved_ports
+        )
+        self.caller_port = caller_port
+        self.admin_port = admin_port
+        self.name = f'{_LOOPBACK}:{peer_port}'
         settings = {
             'CALLER_PORT': str(self.caller_port),
             'ADMIN_PORT': str(self.admin_port),
-            'PEER_PORT': self.name.rpartition(':')[2],
+            'PEER_PORT': str(peer_port),
             'FAILURE_DOMAIN': domain,
             'REGION': domain.rpartition('-')[0],
             'STORE_ADDRESS': endpoints['store_address'],
@@ -175,6 +179,12 @@
         }
         return response.status, response_headers, response_body
 
+    def stop(self) -> None:
+        """Kill the process and release its ports."""
+        kill_process(self.process)
+        for reserved in self._reserved_ports:
+            reserved.release()
+
     def terminate(self) -> None:
         """Send SIGTERM, on which the process drains and exits."""
         self.process.send_signal(signal.SIGTERM)
@@ -217,5 +227,5 @@
     def stop(self) -> None:
         """Kill every process, the stand-ins included."""
         for vm in self.vms:
-            kill_process(vm.process)
+            vm.stop()
         self.stand_ins.stop()
--- a/packages/turmericpost-standins/src/turmericpost_standins/platform.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform.py
@@ -40,6 +40,7 @@
         self._reactor = reactor
         self._deployment = deployment
         self._listening_ports: list[Any] = []
+        self._reserved_ports: list[ReservedPort] = []
 
     def start(self) -> None:
         """Listen on a free loopback port for each stand-in."""
@@ -58,7 +59,9 @@
                 self.backends[service.name].append(backend)
                 port = self._listen(backend)
                 self.backend_ports[service.name].append(port)
-        self.peer_port = free_port()
+        reserved = ReservedPort()
+        self._reserved_ports.append(reserved)
+        self.peer_port = reserved.number
         domain = self._deployment.failure_domains[0].name
         address = f'{_LOOPBACK}:{self.peer_port}'
         self.vm_list.set_vms((ListedVm(address, domain),))
@@ -79,6 +82,8 @@
         """Close every port."""
         for port in self._listening_ports:
             await port.stopListening()
+        for reserved in self._reserved_ports:
+            reserved.release()
 
     def _listen(self, resource: Resource) -> int:
         site = Site(resource)
@@ -91,8 +96,21 @@
         return f'http://{_LOOPBACK}:{port}'
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now; another process may take it."""
-    with socket.socket() as probe:
-        probe.bind((_LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+class ReservedPort:
+    """A loopback port that is not assigned to any other socket.
+
+    Until ``release`` is called, the system assigns it neither to a listening
+    socket nor to a connection that asks for any free port. A process that is
+    given the number can listen on it, since both sockets reuse the address and
+    this one does not listen.
+    """
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((_LOOPBACK, 0))
+        self.number = int(self._socket.getsockname()[1])
+
+    def release(self) -> None:
+        """Let the system assign the port again."""
+        self._socket.close()
