Reuse no connection to a server that has shed a call on it

Callers of the product's own interface could be told that their call was not run while it ran, when a server wrote an earlier refusal once more. Cause: responses there have no id that could be compared, and the connection of a refused call went back to the pool. Evidence: the test found the connection kept before. Change: it is closed. A second copy of a complete response on this interface can still reach the next call if it arrives after that was sent; listed as open. Measured: tests of forwarded calls: 1 failed before, 0 after. Conclusion: not-run can no longer come from an earlier call.

--- a/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
@@ -213,11 +213,18 @@
         )
 
     def _release_connection(self) -> None:
+        """Keep the connection for reuse if the next response can be trusted.
+
+        Responses have no call id, so a refusal that a server writes once more
+        would pass for the response to the next call.
+        """
         connection = self._connection
         self._connection = None
         if connection is None:
             return
-        if self._call.request_is_sent():
+        if self._discard_reason is AttemptEnd.SHED:
+            connection.close()
+        elif self._call.request_is_sent():
             self._dependencies.pool.release(self._backend.address, connection)
         else:
             connection.cancel()
--- a/packages/turmericpost-entry/tests/forward/test_call.py
+++ b/packages/turmericpost-entry/tests/forward/test_call.py
@@ -143,6 +143,15 @@
             _response_outcome(caller.received()), (200, b'complete', None)
         )
 
+    # Guards against a refusal that a server writes once more: the next call on
+    # the connection would be reported as not run, or run a second time.
+    def test_connection_of_a_shed_call_is_not_reused(self) -> None:
+        harness = Harness(backends=2)
+        harness.caller().send(_POST)
+        first = harness.backend()
+        first.shed_call()
+        self.assertTrue(first.transport.disconnecting)
+
     def test_post_without_connection_is_reported_as_not_run(self) -> None:
         harness = Harness()
         caller = harness.caller()
