Keep times and timers off the wall clock

When the clocks of the VMs were set back by seconds, callers got no answer or a late one: a third of the requests failed or were refused. When they were set ahead, the VMs took each other for lost and used-up rates for free. Cause: Twisted's reactors read the wall clock, and the clock of all ages, deadlines, leases and rates is the reactor's. It is called monotonic, and is not. Class: a permission or an age on a clock that others set. Change: the reactor of each program reads the time since boot, which nobody sets and which counts on while the machine is suspended, so what ran out meanwhile is seen to have run out.

--- a/packages/turmericpost-entry/src/turmericpost/commands/demo.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/demo.py
@@ -16,6 +16,7 @@
 from turmericpost.commands.settings_command import EXIT_OK, EXIT_USAGE
 from turmericpost.node import EntryNode
 from turmericpost.observe.events import LogEvent, log_event, open_log
+from turmericpost.reactor_clock import use_monotonic_time
 from turmericpost.settings_groups import Settings, resolve_settings
 from turmericpost_core.config.decode import document_to_mapping
 from turmericpost_standins.deployments import (
@@ -57,6 +58,7 @@
     :param admin_port: port that operators connect to
     :param duration_s: seconds after which the demo ends by itself
     """
+    use_monotonic_time(reactor)
     found_deployment = find_deployment(deployment)
     if found_deployment is None:
         sys.stderr.write(
--- a/packages/turmericpost-entry/src/turmericpost/commands/serve.py
+++ b/packages/turmericpost-entry/src/turmericpost/commands/serve.py
@@ -12,6 +12,7 @@
 from turmericpost.commands.settings_command import EXIT_OK, report_errors
 from turmericpost.node import EntryNode
 from turmericpost.observe.events import LogEvent, log_event, open_log
+from turmericpost.reactor_clock import use_monotonic_time
 from turmericpost.settings_groups import Settings, resolve_settings
 from turmericpost_command.settings.flags import FlagValues
 
@@ -20,6 +21,7 @@
 
 def serve(flags: FlagValues) -> int:
     """Run an entry VM until a signal ends it and return the exit status."""
+    use_monotonic_time(reactor)
     resolved = resolve_settings(flags, os.environ)
     if resolved.is_err():
         return report_errors(resolved.unwrap_err())
--- a/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/__main__.py
@@ -18,6 +18,7 @@
     read_settings_file,
 )
 from turmericpost.platform.store_client import StoreClient
+from turmericpost.reactor_clock import use_monotonic_time
 
 EXIT_USAGE = 2
 EXIT_PORT_TAKEN = 1
@@ -25,6 +26,7 @@
 
 def main() -> int:
     """Run the entry VM until a signal stops it, and return the exit status."""
+    use_monotonic_time(reactor)
     path = os.environ.get(PATH_VARIABLE, '')
     read = read_settings_file(path)
     if read.is_err():
--- a/packages/turmericpost-entry/src/turmericpost/reactor_clock.py
+++ b/packages/turmericpost-entry/src/turmericpost/reactor_clock.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from datetime import UTC, datetime
+from typing import Any
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -20,3 +22,17 @@
     def utc_now(self) -> datetime:
         """Return the wall clock time in UTC."""
         return datetime.now(UTC)
+
+
+def use_monotonic_time(reactor: Any) -> None:
+    """Make the time and the timers of a reactor monotonic.
+
+    Reactors of Twisted read the wall clock, which operators and NTP step. Must
+    be called before any timer is started. The time counts on while the machine
+    is suspended, so that permits and views of other VMs expire meanwhile.
+    """
+    reactor.seconds = _seconds_since_boot
+
+
+def _seconds_since_boot() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
