Reuse only connections to servers that repeat the id of an attempt

Callers of the product's own interface could get another call's response, or not-run for a call that ran: a server that writes a response once more, late, writes it on a connection that is in use again. Cause: responses on this interface have nothing that says which request they answer, and connections were reused all the same. Class: an answer taken for the one that is waited for because of where it arrives. Evidence: a copy of an earlier response, and of an earlier refusal, was delivered to the next call; the connection of a shed call alone was closed before. Change: each attempt has an id that the server may repeat. Only a connection on which all responses repeated it is used again, and there a response without the attempt's id is skipped and the connection used no more. Servers that repeat no id get a new connection for each call. Relays between VMs have no id. The stand-in repeats it. The test that the connection of a shed call is closed is replaced by two that are stricter: the copy reaches no call, and without an id the connection closes.

--- a/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/attempt.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import count
 from typing import Protocol as Interface
 
+from turmericpost.forward.call_facts import ATTEMPT_ID_HEADER
 from turmericpost.forward.load_header import (
     LOAD_REPORT_HEADER,
     parse_load_report,
@@ -66,12 +69,15 @@
     balancer: Balancer
     pool: ConnectionPool
     metrics: Metrics
+    attempt_numbers: Iterator[int] = field(default_factory=count)
 
 
 class BackendAttempt:
     """Sends a call to one backend server and reports how the attempt ended.
 
-    ``AttemptOwner.attempt_ended`` is called exactly once.
+    ``AttemptOwner.attempt_ended`` is called exactly once. ``attempt_id`` is
+    what the response should repeat, ``None`` if the call is relayed to another
+    entry VM.
     """
 
     def __init__(
@@ -84,6 +90,9 @@
         relay_kind: RelayKind | None = None,
     ) -> None:
         self.relay_kind = relay_kind
+        self.attempt_id: bytes | None = None
+        if relay_kind is None:
+            self.attempt_id = b'%d' % next(dependencies.attempt_numbers)
         self._backend = backend
         self._load = load
         self._call = call
@@ -95,12 +104,15 @@
         self._discard_reason: AttemptEnd | None = None
         self._is_server_error = False
         self._has_sent_bytes = False
+        self._is_reused = False
+        self._repeats_id = False
         self._is_over = False
 
     def start(self) -> None:
         """Use an idle connection or open one, then send the request."""
         connection = self._dependencies.pool.take_idle(self._backend.address)
         if connection is not None:
+            self._is_reused = True
             self.connected(connection)
             return
         pending = self._dependencies.pool.open(
@@ -122,8 +134,18 @@
         self._finish(AttemptResult.FAILURE, AttemptEnd.CONNECT_FAILED)
 
     def is_stale_response(self, head: ResponseHead) -> bool:
-        """Return false; responses have no call id that could be compared."""
-        return False
+        """Return whether the response belongs to an earlier attempt.
+
+        A connection is reused only if the server has repeated the ids of all
+        attempts on it.
+        """
+        if self.attempt_id is None:
+            return False
+        repeated_id = head.first(ATTEMPT_ID_HEADER)
+        self._repeats_id = repeated_id == self.attempt_id
+        if self._repeats_id:
+            return False
+        return self._is_reused or repeated_id is not None
 
     def response_head_received(self, head: ResponseHead) -> None:
         """Record the load report, if any, and pass the head to the call.
@@ -213,21 +235,21 @@
         )
 
     def _release_connection(self) -> None:
-        """Keep the connection for reuse if the next response can be trusted.
+        """Keep the connection for reuse if the server repeats attempt ids.
 
-        Responses have no call id, so a refusal that a server writes once more
-        would pass for the response to the next call.
+        Otherwise a second copy of the response would pass for the response to
+        the next call.
         """
         connection = self._connection
         self._connection = None
         if connection is None:
             return
-        if self._discard_reason is AttemptEnd.SHED:
-            connection.close()
-        elif self._call.request_is_sent():
-            self._dependencies.pool.release(self._backend.address, connection)
-        else:
+        if not self._call.request_is_sent():
             connection.cancel()
+        elif self._repeats_id or self.attempt_id is None:
+            self._dependencies.pool.release(self._backend.address, connection)
+        elif connection.is_usable:
+            connection.close()
 
     def _record_load_report(self, head: ResponseHead, now_s: float) -> None:
         text = head.first(LOAD_REPORT_HEADER)
--- a/packages/turmericpost-entry/src/turmericpost/forward/buffered_response.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/buffered_response.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from turmericpost.forward.call_facts import ATTEMPT_ID_HEADER
 from turmericpost.forward.load_header import LOAD_REPORT_HEADER
 from turmericpost.forward.refusals import OUTCOME_HEADER, REASON_HEADER
 from turmericpost.http1.exchange import Exchange
@@ -23,8 +24,8 @@
 
 _MS_PER_S = 1000
 _FIRST_SERVER_ERROR = 500
-_DROPPED_ALWAYS = frozenset((LOAD_REPORT_HEADER,))
-_DROPPED_WHEN_REFRAMED = frozenset((LOAD_REPORT_HEADER, CONTENT_LENGTH))
+_DROPPED_ALWAYS = frozenset((LOAD_REPORT_HEADER, ATTEMPT_ID_HEADER))
+_DROPPED_WHEN_REFRAMED = frozenset((*_DROPPED_ALWAYS, CONTENT_LENGTH))
 _OUTCOME_FIELDS = frozenset((OUTCOME_HEADER, REASON_HEADER))
 
 
--- a/packages/turmericpost-entry/src/turmericpost/forward/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call.py
@@ -168,10 +168,12 @@
     def write_request(self, connection: BackendConnection) -> None:
         """Write the request head and the part of the body received so far."""
         remaining_s = self.deadline_s - self._controller.now_s()
+        attempt = self._attempt
         next_hop = NextHopFields(
             deadline_ms=max(int(remaining_s * _MS_PER_S), 1),
             call_depth=self.request.call_depth + (self._relay_kind is None),
             relay_kind=self._relay_kind,
+            attempt_id=None if attempt is None else attempt.attempt_id,
         )
         head = forwarded_head(self._exchange.head, next_hop)
         connection.write(head + self.body.attach(connection))
--- a/packages/turmericpost-entry/src/turmericpost/forward/call_facts.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/call_facts.py
@@ -13,6 +13,7 @@
 
 ACCOUNT_HEADER = b'turmericpost-account'
 HOME_REGIONS_HEADER = b'turmericpost-home-regions'
+ATTEMPT_ID_HEADER = b'turmericpost-attempt-id'
 DEADLINE_HEADER = b'turmericpost-deadline-ms'
 DEPTH_HEADER = b'turmericpost-depth'
 OPERATION_KEY_HEADER = b'idempotency-key'
--- a/packages/turmericpost-entry/src/turmericpost/forward/request_head.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/request_head.py
@@ -6,6 +6,7 @@
 
 from turmericpost.forward.buffered_response import VIA_HEADER
 from turmericpost.forward.call_facts import (
+    ATTEMPT_ID_HEADER,
     DEADLINE_HEADER,
     DEPTH_HEADER,
     RELAY_KIND_HEADER,
@@ -20,7 +21,13 @@
 )
 
 _REPLACED_FIELDS = frozenset(
-    (EXPECT, DEADLINE_HEADER, DEPTH_HEADER, RELAY_KIND_HEADER)
+    (
+        EXPECT,
+        ATTEMPT_ID_HEADER,
+        DEADLINE_HEADER,
+        DEPTH_HEADER,
+        RELAY_KIND_HEADER,
+    )
 )
 _CHUNKED_HEADER = (TRANSFER_ENCODING, b'chunked')
 
@@ -32,6 +39,7 @@
     deadline_ms: int
     call_depth: int
     relay_kind: RelayKind | None
+    attempt_id: bytes | None
 
 
 def forwarded_head(head: RequestHead, next_hop: NextHopFields) -> bytes:
@@ -44,6 +52,8 @@
     headers.append(VIA_HEADER)
     headers.append((DEADLINE_HEADER, b'%d' % next_hop.deadline_ms))
     headers.append((DEPTH_HEADER, b'%d' % next_hop.call_depth))
+    if next_hop.attempt_id is not None:
+        headers.append((ATTEMPT_ID_HEADER, next_hop.attempt_id))
     if next_hop.relay_kind is not None:
         kind = next_hop.relay_kind.value.encode('ascii')
         headers.append((RELAY_KIND_HEADER, kind))
--- a/packages/turmericpost-entry/tests/forward/test_call.py
+++ b/packages/turmericpost-entry/tests/forward/test_call.py
@@ -35,6 +35,7 @@
         self.assertEqual(_response_outcome(wire), (200, b'complete', None))
         self.assertTrue(wire.endswith(b'\r\n\r\ncard'))
         self.assertNotIn(b'endpoint-load-metrics', wire)
+        self.assertNotIn(b'attempt-id', wire)
         self.assertEqual(harness.metrics.calls_in_flight, 0)
 
     def test_hop_by_hop_fields_are_not_forwarded(self) -> None:
@@ -45,12 +46,19 @@
             b'Turmericpost-Account: mosque\r\nConnection: X-Secret\r\n'
             b'X-Secret: 1\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\n'
             b'X-Kept: 2\r\nTurmericpost-Depth: 3\r\n'
+            b'Turmericpost-Attempt-Id: mine\r\n'
             b'Turmericpost-Deadline-Ms: 900\r\n\r\n',
         )
         harness.reactor.advance(0.1)
         backend = harness.backend()
         sent = backend.received().lower()
-        for dropped in (b'x-secret', b'keep-alive', b'te:', b'connection'):
+        for dropped in (
+            b'x-secret',
+            b'keep-alive',
+            b'te:',
+            b'connection',
+            b'mine',
+        ):
             self.assertNotIn(dropped, sent)
         for kept in (
             b'x-kept: 2',
@@ -145,12 +153,40 @@
 
     # Guards against a refusal that a server writes once more: the next call on
     # the connection would be reported as not run, or run a second time.
-    def test_connection_of_a_shed_call_is_not_reused(self) -> None:
+    def test_repeated_refusal_does_not_reach_the_next_call(self) -> None:
+        harness = Harness(limits=Limits(retry_ratio=0, retry_burst=0))
+        harness.caller().send(GET)
+        server = harness.backend()
+        refusal_field = server.attempt_id_field()
+        server.shed_call()
+        harness.reactor.advance(1)
+        caller = harness.caller()
+        caller.send(_POST)
+        server.send(
+            b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n'
+            b'Turmericpost-Outcome: not-run\r\n%b\r\n' % refusal_field
+        )
+        self.assertEqual(caller.received(), b'')
+        server.respond(b'done')
+        self.assertTrue(caller.received().endswith(b'done'))
+
+    # Guards against a second copy of a response, written late on a connection
+    # in use again: the next caller got a response to another call.
+    def test_repeated_response_does_not_reach_the_next_call(self) -> None:
+        for repeats_id in (True, False):
+            with self.subTest(repeats_id=repeats_id):
+                self._check_copy_is_skipped(repeats_id=repeats_id)
+
+    def test_server_that_repeats_no_id_gets_new_connections(self) -> None:
         harness = Harness(backends=2)
-        harness.caller().send(_POST)
-        first = harness.backend()
-        first.shed_call()
-        self.assertTrue(first.transport.disconnecting)
+        for refusal_field in (b'', b'Turmericpost-Outcome: not-run\r\n'):
+            harness.caller().send(GET)
+            server = harness.backend()
+            server.send(
+                b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n'
+                b'%b\r\n' % refusal_field
+            )
+            self.assertTrue(server.transport.disconnecting)
 
     def test_post_without_connection_is_reported_as_not_run(self) -> None:
         harness = Harness()
@@ -253,7 +289,10 @@
         caller = harness.caller()
         caller.send(GET.replace(b'GET', b'HEAD'))
         backend = harness.backend()
-        backend.send(b'HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n')
+        backend.send(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 77\r\n%b\r\n'
+            % backend.attempt_id_field()
+        )
         wire = caller.received()
         self.assertIn(b'content-length: 77', wire)
         self.assertTrue(wire.endswith(b'\r\n\r\n'))
@@ -270,6 +309,23 @@
         self.assertEqual(_response_outcome(wire)[:2], (500, b'unknown'))
         self.assertTrue(wire.endswith(b'oops'))
 
+    def _check_copy_is_skipped(self, *, repeats_id: bool) -> None:
+        harness = Harness()
+        harness.caller().send(GET)
+        server = harness.backend()
+        copied_field = server.attempt_id_field() if repeats_id else b''
+        server.respond(b'first')
+        caller = harness.caller()
+        caller.send(_POST)
+        server.send(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n%b\r\nfirst'
+            % copied_field
+        )
+        self.assertEqual(caller.received(), b'')
+        server.respond(b'second')
+        self.assertTrue(caller.received().endswith(b'second'))
+        self.assertTrue(server.transport.disconnecting)
+
 
 class StreamingTest(unittest.TestCase):
     def test_slow_caller_pauses_the_response(self) -> None:
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from datetime import UTC, datetime
 from random import Random
 from typing import Any
@@ -53,6 +54,9 @@
 )
 
 
+_ATTEMPT_ID = re.compile(rb'turmericpost-attempt-id: \d+\r\n')
+
+
 class FakeTransport(StringTransport):
     """In-memory transport that records pauses, closes and aborts."""
 
@@ -115,14 +119,21 @@
     def __init__(self, connection: BackendConnection) -> None:
         self.connection = connection
         self.transport = FakeTransport()
+        self._attempt_ids: list[bytes] = []
         connection.makeConnection(self.transport)
 
     def received(self) -> bytes:
         """Return and clear the bytes that the entry VM sent."""
         wire: bytes = self.transport.value()
+        self._attempt_ids.extend(_ATTEMPT_ID.findall(wire))
         self.transport.clear()
         return wire
 
+    def attempt_id_field(self) -> bytes:
+        """Return the header field that repeats the id of the last attempt."""
+        ids = [*self._attempt_ids, *_ATTEMPT_ID.findall(self.transport.value())]
+        return ids[-1] if ids else b''
+
     def send(self, wire: bytes) -> None:
         """Send bytes to the entry VM."""
         self.connection.dataReceived(wire)
@@ -133,9 +144,14 @@
         status: bytes = b'200 OK',
         headers: bytes = WARM_REPORT,
     ) -> None:
-        """Send a complete response."""
+        """Send a complete response that repeats the id of the attempt."""
         length_header = b'Content-Length: %d\r\n' % len(body)
-        head = b'HTTP/1.1 %b\r\n%b%b\r\n' % (status, headers, length_header)
+        head = b'HTTP/1.1 %b\r\n%b%b%b\r\n' % (
+            status,
+            self.attempt_id_field(),
+            headers,
+            length_header,
+        )
         self.send(head + body)
 
     def shed_call(self) -> None:
--- a/packages/turmericpost-standins/src/turmericpost_standins/backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/backend.py
@@ -183,6 +183,9 @@
         self.statuses[status] += 1
         encoded = json.dumps(response).encode()
         request.setResponseCode(status)
+        attempt_id = request.getHeader('turmericpost-attempt-id')
+        if attempt_id is not None:
+            request.setHeader('turmericpost-attempt-id', attempt_id)
         request.setHeader(b'content-type', b'application/json')
         request.setHeader(b'content-length', b'%d' % len(encoded))
         request.setHeader(
