Let background loops go on after an unexpected exception

Callers and other VMs saw a VM that accepted connections but sent no heartbeats, read no store or checked no timeouts any more; a stop cut off calls. Cause: each loop of a VM ended for good at the first exception that nothing handled, since the exception ended its coroutine or LoopingCall. An exception while a VM announced its drain ended the drain. Class: one error takes down what it has nothing to do with. The stop raised at once.

--- a/packages/turmericpost-entry/src/turmericpost/configlog/tasks.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/tasks.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from turmericpost.background import start_loop
 from turmericpost.configlog.clients import PlatformClients
 from turmericpost.configlog.settings import PlatformSettings
 from turmericpost.observe.events import LogEvent, log_event, log_failure
@@ -41,11 +42,11 @@
     def start(self) -> None:
         """Start reading the log and the VM list, and writing snapshots."""
         for loop in (
-            self._poll_vm_list(),
-            self._write_periodic_snapshots(),
-            self._clients.follower.run(),
+            self._poll_vm_list,
+            self._write_periodic_snapshots,
+            self._clients.follower.run,
         ):
-            Deferred.fromCoroutine(loop).addErrback(log_failure)
+            start_loop(self._reactor, loop)
 
     def stop(self) -> None:
         """Make each task end after its current operation or pause."""
@@ -60,11 +61,13 @@
         if self._is_writing_snapshot:
             return
         self._is_writing_snapshot = True
-        writing = Deferred.fromCoroutine(self._write_snapshot())
+        writing = Deferred.fromCoroutine(
+            self._clients.snapshots.write(_REQUESTED_SNAPSHOT_INTERVAL_S)
+        )
         writing.addErrback(log_failure)
+        writing.addBoth(self._snapshot_written)
 
-    async def _write_snapshot(self) -> None:
-        await self._clients.snapshots.write(_REQUESTED_SNAPSHOT_INTERVAL_S)
+    def _snapshot_written(self, _outcome: object) -> None:
         self._is_writing_snapshot = False
 
     async def _write_periodic_snapshots(self) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from turmericpost.background import start_loop
 from turmericpost.fleet.store import (
     FleetStore,
     InvalidRecord,
     OperatorRecords,
     Registrations,
 )
-from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.state import FleetState
@@ -74,7 +74,7 @@
         """Start the read loops."""
         self._is_running = True
         for loop in (self._follow_backends, self._follow_operator):
-            Deferred.fromCoroutine(loop()).addErrback(log_failure)
+            start_loop(self._reactor, loop)
 
     def stop(self) -> None:
         """Stop the read loops."""
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
+from turmericpost.background import run_logged, start_loop, start_periodic
 from turmericpost.fleet.messages import Message
 from turmericpost.fleet.peers import PeerCallbacks, PeerProtocol
 from turmericpost.fleet.state_sync import StateSync
@@ -27,7 +27,7 @@
 from turmericpost.gateway.peer_discovery import PeerDiscovery
 from turmericpost.gateway.ports import limited_settings, new_caller_port
 from turmericpost.gateway.settings import Address, GatewaySettings
-from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost_core.fleet.state import KnownVersions
 from turmericpost_core.grants.visible_share import VisibleShare
@@ -87,14 +87,10 @@
             self._open_ports()
         except CannotListenError as error:
             return Err(error)
-        self._sweep_loop = LoopingCall(self._sweep)
-        self._sweep_loop.clock = self._reactor
-        self._sweep_loop.start(SWEEP_INTERVAL_S).addErrback(log_failure)
-        Deferred.fromCoroutine(self._send_heartbeats()).addErrback(log_failure)
+        start_periodic(self._reactor, SWEEP_INTERVAL_S, self._sweep)
+        start_loop(self._reactor, self._send_heartbeats)
         self.state_sync.reader.start()
-        Deferred.fromCoroutine(self._peer_discovery.run()).addErrback(
-            log_failure
-        )
+        start_loop(self._reactor, self._peer_discovery.run)
         return Ok(None)
 
     async def stop(self) -> None:
@@ -114,14 +110,14 @@
         log_event(LogEvent.DRAIN_STARTED, in_flight=len(self.ingress.in_flight))
         self.view.own_readiness = VmReadiness.LEAVING
         self._caller_port.is_draining = True
-        self.peers.send_heartbeats()
-        self.peers.send_digests()
+        run_logged(self.peers.send_heartbeats)
+        run_logged(self.peers.send_digests)
         while not drain_plan.is_finished(
             self.clock.monotonic_s(),
             len(self.ingress.in_flight),
         ):
             if drain_plan.closes_idle_connections(self.clock.monotonic_s()):
-                self._caller_port.close_idle()
+                run_logged(self._caller_port.close_idle)
             await deferLater(self._reactor, _DRAIN_CHECK_INTERVAL_S)
         log_event(
             LogEvent.DRAIN_FINISHED, in_flight=len(self.ingress.in_flight)
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -11,6 +11,7 @@
 
 from turmericpost.admin.resources import admin_root
 from turmericpost.admin.views import AdminState
+from turmericpost.background import start_periodic
 from turmericpost.configlog.clients import new_platform_clients
 from turmericpost.configlog.tasks import PlatformTasks
 from turmericpost.forward.address_endpoint import (
@@ -25,7 +26,7 @@
 )
 from turmericpost.http1.listen_drain import stop_new_connections
 from turmericpost.http1.server import CallerPort
-from turmericpost.observe.events import LogEvent, log_event, log_failure
+from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.observe.metrics import Metrics
 from turmericpost.peer.service import PeerCallbacks, new_peer_service
 from turmericpost.peer.stream import PeerServerFactory
@@ -95,10 +96,9 @@
                 self.peers.heartbeat_round,
             ),
         ):
-            loop = LoopingCall(callback)
-            loop.clock = self._reactor
-            loop.start(interval_s).addErrback(log_failure)
-            self._loops.append(loop)
+            self._loops.append(
+                start_periodic(self._reactor, interval_s, callback)
+            )
         self._tasks.start()
 
     async def stop(self) -> None:
--- a/packages/turmericpost-entry/tests/gateway/test_fleet.py
+++ b/packages/turmericpost-entry/tests/gateway/test_fleet.py
@@ -13,6 +13,25 @@
 _ORDER = route('/order/', RouteType='non_idempotent')
 
 
+class FailingCallback:
+    """A method that raises an exception the first time it is called."""
+
+    def __init__(self, owner: Any, method: str) -> None:
+        self.calls = 0
+        self._owner = owner
+        self._method = method
+        self._function = getattr(owner, method)
+
+    def install(self) -> None:
+        setattr(self._owner, self._method, self._call)
+
+    def _call(self, *arguments: Any) -> Any:
+        self.calls += 1
+        if self.calls == 1:
+            raise RuntimeError('test')
+        return self._function(*arguments)
+
+
 class FleetTest(unittest.TestCase):
     def setUp(self) -> None:
         self.fleet = Fleet()
@@ -95,6 +114,50 @@
         self.assertLessEqual(most, 1.5 * 2 * 4 + 5)
         self.assertGreater(len(runs_s), 5)
 
+    # Guards against a process that stays up without heartbeats, store reads or
+    # checks after one unexpected exception.
+    def test_vm_works_on_after_unexpected_exceptions(self) -> None:
+        self.fleet.configure(1, route('/a/'))
+        node = self.fleet.nodes[0]
+        callbacks = [
+            FailingCallback(*named)
+            for named in (
+                (node.peers, 'send_due_heartbeats'),
+                (node.ingress, 'log_dropped_lines'),
+                (node.state.directory, 'apply_records'),
+            )
+        ]
+
+        async def steps() -> bool:
+            await self.fleet.ready()
+            for callback in callbacks:
+                callback.install()
+            self.fleet.add_backend('b1')
+            await self.fleet.ready()
+            return await self.fleet.wait_until(
+                lambda: all(callback.calls > 1 for callback in callbacks), 4
+            )
+
+        self.assertTrue(self.fleet.run(steps))
+
+    # Guards against a stop that cuts off calls because of an exception.
+    def test_vm_that_cannot_announce_its_drain_still_drains(self) -> None:
+        self.fleet.configure(1, route('/a/'))
+        self.fleet.add_backend('b1')
+        node = self.fleet.nodes[0]
+        callback = FailingCallback(node.peers, 'send_digests')
+
+        async def steps() -> Any:
+            await self.fleet.ready()
+            callback.install()
+            stopping = Deferred.fromCoroutine(node.stop())
+            response = await self.fleet.call()
+            is_running = not stopping.called
+            await stopping
+            return is_running, response.status
+
+        self.assertEqual(self.fleet.run(steps), (True, 200))
+
     def test_evacuated_domain_gets_no_calls_until_it_is_restored(self) -> None:
         self.fleet.configure(1, route('/a/'))
         near = self.fleet.add_backend('b1', 'nasr')
