Reject messages of other VMs whose fields have other types

Callers saw nothing for as long as nobody sent such a message; after one, a VM failed each time it used what the message had left in its state: its heartbeats stopped, and it was lost for the others. Cause: decoding a message checked the number of its fields, not their types, so a field of another type raised where it was used, after it had been stored. Class: input that is trusted because of who usually sends it. Evidence: one of the recorded messages with one field replaced, on a node that goes on working: both tests raised before (datagrams and updates). Change: fields of decoded messages are checked against the annotations of their data classes, nested ones too; numbers are finite, ages not negative. A malformed message is dropped and logged as before. Conclusion: with the loops that go on after an exception, one malformed message no longer takes anything down.

--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/field_types.py
@@ -0,0 +1,97 @@
+"""Checks that the fields of decoded messages have the annotated types.
+
+A field of another type would raise an exception only where it is used, after
+it has become part of the state of the VM.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import fields, is_dataclass
+from functools import lru_cache
+from types import UnionType
+from typing import Any, TypeAlias, Union, get_args, get_origin, get_type_hints
+
+_TypeTest: TypeAlias = Callable[[Any], bool]
+
+
+def check_field_types(instance: Any) -> None:
+    """Check the fields of a data class instance, also of nested ones.
+
+    Numbers must be finite. Raises ``TypeError`` with the name of the first
+    field that has another type.
+    """
+    data_class = instance.__class__
+    for name, has_type in _field_tests(data_class):
+        if not has_type(getattr(instance, name)):
+            raise TypeError(f'{data_class.__name__}.{name}')
+
+
+def require_not_negative(number: float) -> float:
+    """Return a number; raise ``ValueError`` if it is negative."""
+    if number < 0:
+        raise ValueError(number)
+    return number
+
+
+@lru_cache
+def _field_tests(data_class: Any) -> tuple[tuple[str, _TypeTest], ...]:
+    hints = get_type_hints(data_class)
+    return tuple(
+        (field.name, _type_test(hints[field.name]))
+        for field in fields(data_class)
+    )
+
+
+def _type_test(annotation: Any) -> _TypeTest:
+    origin = get_origin(annotation)
+    if origin is not None:
+        return _generic_test(origin, get_args(annotation))
+    if annotation is float:
+        return _is_finite_number
+    if is_dataclass(annotation):
+        return lambda instance: _has_valid_fields(instance, annotation)
+    return lambda instance: instance.__class__ is annotation
+
+
+def _generic_test(origin: Any, arguments: tuple[Any, ...]) -> _TypeTest:
+    tests = tuple(_type_test(one) for one in arguments if one is not Ellipsis)
+    if origin in {Union, UnionType}:
+        return lambda instance: any(test(instance) for test in tests)
+    if origin is tuple and Ellipsis not in arguments:
+        return lambda instance: _is_fixed_tuple(instance, tests)
+    if origin is Mapping:
+        return lambda instance: _is_mapping(instance, *tests)
+    return lambda instance: (
+        instance.__class__ is origin and all(map(tests[0], instance))
+    )
+
+
+def _is_finite_number(instance: Any) -> bool:
+    return instance.__class__ in {int, float} and math.isfinite(instance)
+
+
+def _has_valid_fields(instance: Any, data_class: Any) -> bool:
+    if instance.__class__ is data_class:
+        check_field_types(instance)
+        return True
+    return False
+
+
+def _is_fixed_tuple(instance: Any, tests: tuple[_TypeTest, ...]) -> bool:
+    return (
+        instance.__class__ is tuple
+        and len(instance) == len(tests)
+        and all(test(part) for test, part in zip(tests, instance, strict=True))
+    )
+
+
+def _is_mapping(
+    instance: Any, key_test: _TypeTest, entry_test: _TypeTest
+) -> bool:
+    return (
+        isinstance(instance, Mapping)
+        and all(map(key_test, instance))
+        and all(map(entry_test, instance.values()))
+    )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -14,6 +14,10 @@
 from result import Err, Ok, Result
 
 from turmericpost.fleet.dataclass_fields import shallow_fields
+from turmericpost.fleet.field_types import (
+    check_field_types,
+    require_not_negative,
+)
 from turmericpost.fleet.messages import (
     CancelMessage,
     DenialMessage,
@@ -74,7 +78,9 @@
 
 def _unpack(wire: bytes) -> Message:
     kind, packed = msgpack.unpackb(wire, strict_map_key=False)
-    return _DECODERS[kind](packed)
+    message = _DECODERS[kind](packed)
+    check_field_types(message)
+    return message
 
 
 def _to_packable(value_to_pack: object) -> object:
@@ -89,7 +95,7 @@
     read_age_s, operator_offset, backends, next_offset = fields
     last_changed, expired_count = backends
     return StateVersion(
-        read_age_s,
+        require_not_negative(read_age_s),
         operator_offset,
         (last_changed, expired_count),
         next_offset,
@@ -123,7 +129,7 @@
     domain, age_s, vms, state_version, sender, demand = fields
     return Digest(
         domain,
-        age_s,
+        require_not_negative(age_s),
         _decode_vms_with_readiness(vms),
         _decode_state_version(state_version),
         sender,
--- a/packages/turmericpost-entry/src/turmericpost/fleet/rate_limit_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/rate_limit_codec.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
+from turmericpost.fleet.field_types import require_not_negative
 from turmericpost.fleet.messages import RateLimitsMessage, StatedRateLimit
 
 
 def decode_rate_limits(fields: Any) -> RateLimitsMessage:
     """Return the message with these unpacked fields.
 
-    Raises ``ValueError`` or ``TypeError`` if a limit or an age is not a finite
-    number of at least 0.
+    Raises ``ValueError`` or ``TypeError`` if a limit or an age is not a number
+    of at least 0.
     """
     service, domain, limits = fields
     return RateLimitsMessage(
@@ -28,7 +28,6 @@
     requests_per_s: float | None,
     age_s: float,
 ) -> StatedRateLimit:
-    for number in (requests_per_s or 0, age_s):
-        if not math.isfinite(number) or number < 0:
-            raise ValueError(number)
+    require_not_negative(requests_per_s or 0)
+    require_not_negative(age_s)
     return StatedRateLimit(backend_id, started_ms, requests_per_s, age_s)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_codec.py
@@ -9,6 +9,7 @@
 import msgpack
 from result import Err, Ok, Result
 
+from turmericpost.fleet.field_types import check_field_types
 from turmericpost.fleet.message_codec import (
     MalformedMessage,
     unpack_backend,
@@ -81,11 +82,13 @@
 
 def _parse_versions(fields: Any) -> KnownVersions:
     operator_offset, config, backends = fields
-    return KnownVersions(
-        int(operator_offset),
-        None if config is None else int(config),
+    versions = KnownVersions(
+        operator_offset,
+        config,
         None if backends is None else _parse_version(backends),
     )
+    check_field_types(versions)
+    return versions
 
 
 def _decompress(wire: bytes) -> bytes:
@@ -98,13 +101,15 @@
 
 def _parse_update(fields: Any) -> FleetUpdate:
     operator_offset, config_version, config, evacuated, registry = fields
-    return FleetUpdate(
+    update = FleetUpdate(
         operator_offset=operator_offset,
         config_version=config_version,
         config=None if config is None else _unpack_config(config),
         evacuated=frozenset(evacuated),
         registry=_unpack_registry(registry),
     )
+    check_field_types(update)
+    return update
 
 
 def _unpack_registry(fields: Any) -> RegistryUpdate:
@@ -120,7 +125,7 @@
 
 def _parse_version(fields: Any) -> tuple[int, int]:
     last_changed, expired_count = fields
-    return int(last_changed), int(expired_count)
+    return last_changed, expired_count
 
 
 def _pack_change(change: BackendChange) -> list[Any]:
