Finish requests of connections just accepted before a planned stop ends

Callers saw a connection closed or reset without a response, when they had connected to a VM in the last moments of its planned stop, or when they were still receiving a response then. Cause: the process exited as soon as no call was in flight. A connection whose request had not arrived or been read yet is no call, and neither is a response that is still being sent. Idle connections were closed every 20 ms, among them such that had been accepted a moment ago. A closing connection was aborted after 1 s of silence although its caller still read. Class: an end that counts calls where it should count callers. Change: when the time for refusals is over, the waiting connections are accepted and the port closes; the process exits when no caller is connected, at the same latest time as before. A connection is idle after 0.1 s without use. One whose caller is slow to read is closed when the response is sent. The test of the drain plan now states callers in place of calls, with the port's closing beside it.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/drain_plan.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/drain_plan.py
@@ -18,37 +18,40 @@
 The rest, half a second of 6 s, lets the interpreter exit on a slow VM.
 """
 
-IDLE_BEFORE_EXIT_S = 0.3
-"""Time from refusing new calls until a VM without in-flight calls exits:
-requests already in transit have arrived by then."""
+REFUSAL_S = 0.3
+"""Time for which new calls are refused before the caller port closes: callers
+that get a refusal use another VM without a failed connection."""
 
 
 @dataclass(frozen=True)
 class DrainPlan:
-    """Start times of the phases of a drain, in monotonic seconds."""
+    """Start times of the phases of a drain, in monotonic seconds.
+
+    From ``refuses_from_s`` on new calls are refused, and idle connections are
+    closed. At ``closes_port_at_s`` the caller port closes. The process exits
+    when no caller is connected, at ``exit_at_s`` at the latest.
+    """
 
-    begun_s: float
     refuses_from_s: float
+    closes_port_at_s: float
     exit_at_s: float
 
-    def closes_idle_connections(self, now_s: float) -> bool:
-        """Return whether idle connections of callers should be closed."""
-        return now_s >= self.refuses_from_s
-
     def refuses_calls(self, now_s: float) -> bool:
         """Return whether new calls should be refused."""
         return now_s >= self.refuses_from_s
 
-    def is_finished(self, now_s: float, in_flight: int) -> bool:
+    def closes_port(self, now_s: float) -> bool:
+        """Return whether the caller port should be closed."""
+        return now_s >= self.closes_port_at_s
+
+    def is_finished(self, now_s: float, connected_callers: int) -> bool:
         """Return whether the process should exit.
 
-        ``in_flight`` is the number of calls that have no response yet.
+        ``connected_callers`` is the number of open caller connections.
         """
         if now_s >= self.exit_at_s:
             return True
-        return (
-            not in_flight and now_s >= self.refuses_from_s + IDLE_BEFORE_EXIT_S
-        )
+        return self.closes_port(now_s) and not connected_callers
 
 
 def new_drain_plan(now_s: float, grace_s: float) -> DrainPlan:
@@ -56,8 +59,9 @@
 
     ``grace_s`` is the time in seconds until the platform stops the process.
     """
+    refuses_from_s = now_s + SERVING_SHARE * grace_s
     return DrainPlan(
-        now_s,
-        now_s + SERVING_SHARE * grace_s,
+        refuses_from_s,
+        refuses_from_s + REFUSAL_S,
         now_s + EXIT_SHARE * grace_s,
     )
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
@@ -66,7 +67,7 @@
         self._settings = settings
         self._store = store
         self._call_codec = call_codec
-        self._ports: list[Any] = []
+        self._listening_caller_port: Any = None
         self._drain_plan: DrainPlan | None = None
         self._usable_ids: frozenset[str] = frozenset()
         self._pushed_versions = KnownVersions()
@@ -96,14 +97,14 @@
     async def stop(self) -> None:
         """Drain the VM and return when the process should exit.
 
-        The VM leaves address responses at once, serves new calls for a part
-        of the grace time, and then only finishes calls in flight.
+        The VM leaves address responses at once and serves new calls for a part
+        of the grace time. Then it refuses them, closes the caller port and
+        waits until the callers have received their responses.
         """
         if self._drain_plan is not None:
             return
-        now_s = self.clock.monotonic_s()
         drain_plan = new_drain_plan(
-            now_s, self._settings.operating_bounds.grace_s
+            self.clock.monotonic_s(), self._settings.operating_bounds.grace_s
         )
         self._drain_plan = drain_plan
         self._peer_discovery.is_finished = True
@@ -112,12 +113,8 @@
         self._caller_port.is_draining = True
         run_logged(self.peers.send_heartbeats)
         run_logged(self.peers.send_digests)
-        while not drain_plan.is_finished(
-            self.clock.monotonic_s(),
-            len(self.ingress.in_flight),
-        ):
-            if drain_plan.closes_idle_connections(self.clock.monotonic_s()):
-                run_logged(self._caller_port.close_idle)
+        while not self._is_drained(drain_plan):
+            run_logged(partial(self._continue_drain, drain_plan))
             await deferLater(self._reactor, _DRAIN_CHECK_INTERVAL_S)
         log_event(
             LogEvent.DRAIN_FINISHED, in_flight=len(self.ingress.in_flight)
@@ -240,7 +237,9 @@
             self.clock,
             self._record_refusal,
         )
-        self._listen(settings.callers, self._caller_port)
+        self._listening_caller_port = self._listen(
+            settings.callers, self._caller_port
+        )
         for address in (
             settings.readiness,
             settings.directory,
@@ -249,23 +248,19 @@
             self._listen(address, self._endpoint_port)
         peer_address = (settings.host, settings.peer_port)
         self._listen(peer_address, UpdateServer(self.state, self._reactor))
-        self._ports.append(
-            self._reactor.listenUDP(
-                settings.peer_port,
-                self.peers,
-                interface=settings.host,
-            ),
+        self._reactor.listenUDP(
+            settings.peer_port,
+            self.peers,
+            interface=settings.host,
         )
 
-    def _listen(self, address: Address, factory: Any) -> None:
+    def _listen(self, address: Address, factory: Any) -> Any:
         host, port = address
-        self._ports.append(
-            self._reactor.listenTCP(
-                port,
-                factory,
-                backlog=ACCEPT_BACKLOG,
-                interface=host,
-            ),
+        return self._reactor.listenTCP(
+            port,
+            factory,
+            backlog=ACCEPT_BACKLOG,
+            interface=host,
         )
 
     async def _send_heartbeats(self) -> None:
@@ -359,6 +354,27 @@
             return False
         return drain_plan.refuses_calls(self.clock.monotonic_s())
 
+    def _is_drained(self, drain_plan: DrainPlan) -> bool:
+        return drain_plan.is_finished(
+            self.clock.monotonic_s(), len(self._caller_port.connections)
+        )
+
+    def _continue_drain(self, drain_plan: DrainPlan) -> None:
+        """Refuse callers as far as the drain has come."""
+        now_s = self.clock.monotonic_s()
+        if drain_plan.closes_port(now_s):
+            self._close_caller_port()
+        if drain_plan.refuses_calls(now_s):
+            self._caller_port.close_idle()
+
+    def _close_caller_port(self) -> None:
+        """Accept the connections that are waiting, and stop listening."""
+        listening_port = self._listening_caller_port
+        if listening_port is not None:
+            self._listening_caller_port = None
+            listening_port.doRead()
+            listening_port.stopListening()
+
     def _record_refusal(self, reason: RefusalReason) -> None:
         self.metrics.refusals[reason] += 1
 
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -22,6 +22,7 @@
 _HTTP_VERSION = '1.1'
 _MAX_PIPELINED_EXCHANGES = 8
 _CLOSE_LINGER_S = 1
+_MIN_SILENCE_S = 0.1
 
 ExchangeHandler: TypeAlias = Callable[[Exchange], None]
 
@@ -169,9 +170,15 @@
         self._closing = True
         self.transport.abortConnection()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress."""
-        if not self._exchanges and self._head_started_s is None:
+    def close_if_idle(self, now_s: float) -> None:
+        """Close the connection if no request is in progress.
+
+        A connection that was used a moment ago or is new stays open, since a
+        request may be on its way.
+        """
+        if self._exchanges or self._head_started_s is not None:
+            return
+        if now_s - self._last_activity_s >= _MIN_SILENCE_S:
             self._close()
 
     def check_timeouts(self, now_s: float) -> None:
@@ -179,8 +186,7 @@
         silence_s = now_s - self._last_activity_s
         settings = self._port.settings
         if self._closing:
-            if silence_s > _CLOSE_LINGER_S:
-                self.abort()
+            self._check_close_time(silence_s)
         elif self._head_started_s is not None:
             self._check_head_time(now_s - self._head_started_s)
         elif self._exchanges:
@@ -198,12 +204,23 @@
         """Resume the response because the caller reads again."""
         self._response_paused = False
         self._last_activity_s = self._port.clock.monotonic_s()
-        if self._exchanges:
+        if self._closing:
+            self.transport.unregisterProducer()
+        elif self._exchanges:
             self._exchanges[0].resume_response()
 
     def stopProducing(self) -> None:
         """Ignore; ``connectionLost`` handles the same event."""
 
+    def _check_close_time(self, silence_s: float) -> None:
+        linger_s = (
+            self._port.settings.caller_silence_s
+            if self._response_paused
+            else _CLOSE_LINGER_S
+        )
+        if silence_s > linger_s:
+            self.abort()
+
     def _check_head_time(self, elapsed_s: float) -> None:
         if elapsed_s > self._port.settings.caller_silence_s:
             self._reject(RefusalReason.SLOW_CALLER)
@@ -245,7 +262,8 @@
 
     def _close(self) -> None:
         self._closing = True
-        self.transport.unregisterProducer()
+        if not self._response_paused:
+            self.transport.unregisterProducer()
         self.transport.loseConnection()
 
 
@@ -286,9 +304,10 @@
             connection.check_timeouts(now_s)
 
     def close_idle(self) -> None:
-        """Close all connections without a request in progress."""
+        """Close the idle connections."""
+        now_s = self.clock.monotonic_s()
         for connection in tuple(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(now_s)
 
 
 def _codec_refusal(error: CodecError) -> RefusalReason:
--- a/packages/turmericpost-entry/tests/gateway/fleet_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/fleet_harness.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.internet.task import deferLater
+from twisted.internet.tcp import Port, Server
 from twisted.python.failure import Failure
 from twisted.web.server import Site
 
@@ -153,6 +156,31 @@
         client.close()
         return response.unwrap_or(None)
 
+    def connect_caller(self, vm: int, caller: Protocol) -> None:
+        """Connect a protocol to the caller port of a VM."""
+        factory = ClientFactory.forProtocol(lambda: caller)
+        factory.noisy = False
+        factory.clientConnectionFailed = lambda _connector, reason: (
+            caller.connectionLost(reason)
+        )
+        self.reactor.connectTCP(_host(vm), self._ports[0], factory, timeout=1)
+
+    def end_process(self, vm: int) -> None:
+        """Close all sockets of a VM at once, as the end of its process does."""
+        for descriptor in self._descriptors(vm):
+            if isinstance(descriptor, Port):
+                descriptor.stopListening()
+            else:
+                descriptor.abortConnection()
+
+    def limit_send_buffers(self, vm: int, size_bytes: int) -> None:
+        """Limit the send buffers of connections that a VM accepts later."""
+        for descriptor in self._descriptors(vm):
+            if isinstance(descriptor, Port):
+                descriptor.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes
+                )
+
     async def pause(self, pause_s: float) -> None:
         await deferLater(self.reactor, pause_s)
 
@@ -200,6 +228,14 @@
             ended[0].raiseException()
         return ended[0]
 
+    def _descriptors(self, vm: int) -> list[Port | Server]:
+        return [
+            descriptor
+            for descriptor in self.reactor.getReaders()
+            if isinstance(descriptor, Port | Server)
+            and descriptor.getHost().host == _host(vm)
+        ]
+
     def _new_node(self, number: int) -> GatewayNode:
         host = _host(number)
         domain = list(DOMAINS)[number % len(DOMAINS)]
--- a/packages/turmericpost-entry/tests/gateway/test_connections.py
+++ b/packages/turmericpost-entry/tests/gateway/test_connections.py
@@ -14,7 +14,7 @@
     NON_IDEMPOTENT_IDLE_REUSE_S,
     ServerConnections,
 )
-from turmericpost.gateway.drain_plan import IDLE_BEFORE_EXIT_S, new_drain_plan
+from turmericpost.gateway.drain_plan import new_drain_plan
 from turmericpost.http1.client import BackendConnection
 
 _GRACE_S = 6
@@ -78,11 +78,12 @@
         self.assertFalse(self.plan.refuses_calls(102.9))
         self.assertTrue(self.plan.refuses_calls(103))
 
-    def test_drain_ends_when_no_call_is_in_flight(self) -> None:
+    def test_drain_ends_when_no_caller_is_connected(self) -> None:
         self.assertFalse(self.plan.is_finished(102.9, 0))
-        exit_from_s = self.plan.refuses_from_s + IDLE_BEFORE_EXIT_S
-        self.assertTrue(self.plan.is_finished(exit_from_s, 0))
-        self.assertFalse(self.plan.is_finished(exit_from_s, 1))
+        self.assertFalse(self.plan.closes_port(103))
+        self.assertTrue(self.plan.closes_port(103.3))
+        self.assertTrue(self.plan.is_finished(103.3, 0))
+        self.assertFalse(self.plan.is_finished(103.3, 1))
 
     def test_drain_ends_within_the_grace_time(self) -> None:
         self.assertTrue(self.plan.is_finished(100 + _GRACE_S - 0.4, 5))
--- a/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
@@ -64,7 +64,10 @@
 
 @dataclass(frozen=True)
 class PlatformBackendSpec:
-    """Identity and capacity of a server, and its time to process a request."""
+    """Identity and capacity of a server, and its time to process a request.
+
+    Each response ends with ``padding_bytes`` bytes that have no meaning.
+    """
 
     backend_id: str
     service: str
@@ -73,6 +76,7 @@
     max_queue: int = 6
     service_time_s: float = 0.02
     queue_full_action: QueueFullAction = QueueFullAction.SHED
+    padding_bytes: int = 0
 
 
 @dataclass(frozen=True)
@@ -189,6 +193,7 @@
         run_number = len(self.runs)
         backend_id = self.spec.backend_id
         body = f'run {run_number} of {backend_id}'.encode()
+        body += b' ' * self.spec.padding_bytes
         if self.faults.double_answers:
             self.faults.double_answers -= 1
             self._respond_with_raw_bytes(request, body, copies=2)
