Use no permit that has run out while its VM was paused

Callers saw nothing; a server could get a call that its broker no longer counted: more than its slots or its cold rate, or after it had left. Cause: after a pause, sockets are read before timers run. A permit that had waited in the socket buffer was used although the broker had taken it back from a VM that did not list it; so was one whose connection opened during the pause. Class: a lease that is checked by a timer only, not at its use. Evidence: both tests let the time pass without timers and then hand over the permit or the open connection: the call was sent in both. Change: a permit of another VM is used only within 0.6 s of that VM's last reply, and a connection only within 0.6 s of the grant, the age from which a broker takes back permits that are not listed. A later connection goes to the pool.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
@@ -8,7 +8,7 @@
 
 from turmericpost.gateway.call_codec import CallCodec, ResponseInfo
 from turmericpost.gateway.connections import ServerConnections
-from turmericpost.gateway.permit_client import Permit
+from turmericpost.gateway.permit_client import MAX_PERMIT_AGE_S, Permit
 from turmericpost.http1.client import BackendConnection
 from turmericpost.http1.heads import Headers, ResponseHead
 from turmericpost_core.clock import Clock
@@ -128,6 +128,7 @@
         self.is_finished = False
         self._call = call
         self._dependencies = dependencies
+        self._granted_s = dependencies.clock.monotonic_s()
         self._connection: BackendConnection | None = None
         self._response: BufferedResponse | None = None
         self._chunks: list[bytes] = []
@@ -192,6 +193,9 @@
         if self.is_finished:
             connection.close()
             return
+        if self._is_permit_expired():
+            self._release_unsent(connection)
+            return
         self._connection = connection
         connection.begin(self, to_head_request=self._call.is_head_request)
         backend_id = self.permit.backend.backend_id
@@ -281,6 +285,21 @@
         """Resume the request body."""
         self._call.resume_request()
 
+    def _is_permit_expired(self) -> bool:
+        now_s = self._dependencies.clock.monotonic_s()
+        return now_s - self._granted_s > MAX_PERMIT_AGE_S
+
+    def _release_unsent(self, connection: BackendConnection) -> None:
+        """Return the permit and the connection; the call was not sent."""
+        backend_id = self.permit.backend.backend_id
+        self._dependencies.connections.release_connection(
+            backend_id, connection
+        )
+        self._release_permit(AttemptOutcome.UNUSED)
+        self._call.attempt_failed(
+            self, AttemptStatus.NOT_SENT, 'permit-expired'
+        )
+
     def _record_rate_limit(self, info: ResponseInfo) -> None:
         """Record the server's limit, or that it states none any more.
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
@@ -26,6 +26,7 @@
 from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
+from turmericpost_core.grants.limits import UNLISTED_GRACE_S
 from turmericpost_core.grants.permits import AttemptReport, DenialReason
 from turmericpost_core.grants.rate_limits import RateLimitStatement
 from turmericpost_core.membership.domain_view import Vm
@@ -38,6 +39,10 @@
 """Time without reply after which a permit request goes to the next VM in rank
 instead of this broker."""
 
+MAX_PERMIT_AGE_S = UNLISTED_GRACE_S
+"""Time after which a permit must not be used for a new attempt any more: its
+broker may have taken it back from a VM that does not list it."""
+
 PENDING_CHECK_INTERVAL_S = 0.02
 """Interval at which permit requests without reply are checked."""
 
@@ -234,7 +239,7 @@
             message.expected_s,
         )
         pending = self._pending.get(message.permit_request_id)
-        if pending is not None and pending.is_pending_at(permit.broker):
+        if pending is not None and self._may_use(permit, pending):
             self._pending.pop(message.permit_request_id)
             self._held_permits[permit.permit_id] = permit
             pending.listener.permit_granted(permit)
@@ -249,6 +254,18 @@
         if pending is not None:
             pending.listener.permit_denied(message.end, message.retry_after_s)
 
+    def _may_use(self, permit: Permit, pending: _PendingRequest) -> bool:
+        """Return whether a permit is the reply that the request waits for.
+
+        A permit of another VM is too old if this VM was paused since the last
+        reply of that VM.
+        """
+        if not pending.is_pending_at(permit.broker):
+            return False
+        silence_s = self._clock.monotonic_s() - pending.last_reply_s
+        is_own = permit.broker == self._own_vm.name
+        return is_own or silence_s <= MAX_PERMIT_AGE_S
+
     def _send_to_next_broker(self, pending: _PendingRequest) -> None:
         """Send a request to the first VM in rank that has not received it yet.
 
--- a/packages/turmericpost-entry/tests/gateway/call_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/call_harness.py
@@ -46,16 +46,25 @@
         self.opened: list[BackendConnection] = []
         self.released: list[BackendConnection] = []
         self.refuses_connections = False
+        self.delays_connections = False
+        self._pending_listeners: list[Any] = []
 
     def connect(self, _backend: Backend, listener: Any, _idle_s: float) -> Any:
         if self.refuses_connections:
             listener.connect_failed('ConnectionRefusedError')
-        else:
+            return lambda: None
+        self._pending_listeners.append(listener)
+        if not self.delays_connections:
+            self.open_pending()
+        return lambda: None
+
+    def open_pending(self) -> None:
+        """Open the connections that were delayed."""
+        while self._pending_listeners:
             connection = BackendConnection(accepts_unframed=True)
             connection.makeConnection(FakeTransport())
             self.opened.append(connection)
-            listener.connected(connection)
-        return lambda: None
+            self._pending_listeners.pop(0).connected(connection)
 
     def release_connection(
         self, _backend_id: str, released: BackendConnection
--- a/packages/turmericpost-entry/tests/gateway/test_call.py
+++ b/packages/turmericpost-entry/tests/gateway/test_call.py
@@ -141,6 +141,20 @@
         lose_connection(harness, 0)
         self.assertTrue(harness.received_bytes().startswith(b'HTTP/1.1 502'))
 
+    # Guards against a VM that was paused while it connected and then sends a
+    # call with a permit that has run out.
+    def test_connection_opened_after_a_pause_is_not_used(self) -> None:
+        harness = CallHarness(is_idempotent=False)
+        harness.connections.delays_connections = True
+        harness.send_request('POST', b'order')
+        harness.permit(1)
+        harness.clock.pause(1.2)
+        harness.connections.open_pending()
+        self.assertEqual(harness.sent_bytes(0), b'')
+        self.assertEqual(harness.reports, [('b1', AttemptOutcome.UNUSED)])
+        self.assertEqual(len(harness.connections.released), 1)
+        self.assertEqual(len(harness.permit_requests), 2)
+
 
 class RetryTest(unittest.TestCase):
     def test_non_idempotent_call_that_was_sent_is_not_retried(self) -> None:
--- a/packages/turmericpost-entry/tests/gateway/test_permit_client.py
+++ b/packages/turmericpost-entry/tests/gateway/test_permit_client.py
@@ -152,6 +152,38 @@
         self.client.message_received(self._permit())
         self.assertEqual(self.listener.permits, [])
 
+    # Guards against a VM that was paused and uses a permit that its broker has
+    # taken back meanwhile: the permit is read before any timer runs.
+    def test_permit_read_after_a_pause_is_not_used(self) -> None:
+        self.client.request_permit(self.criteria, self.listener)
+        broker, permit = self.first_broker, self._permit()
+        self.clock.pause(1.5)
+        self.client.message_received(permit)
+        self.assertEqual(self.listener.permits, [])
+        self.assertIn(
+            (broker, CancelMessage(self.listener.request_ids[0])),
+            self.peers.sent,
+        )
+
+    def test_permit_after_a_short_delay_is_used(self) -> None:
+        self.client.request_permit(self.criteria, self.listener)
+        self.clock.pause(0.3)
+        self.client.message_received(self._permit())
+        self.assertEqual(len(self.listener.permits), 1)
+
+    def test_permit_of_this_vm_is_used_however_long_it_was_queued(self) -> None:
+        self.view.own_readiness = VmReadiness.READY
+        for name in ('a', 'b', 'c'):
+            self.view.record_heartbeat(
+                vm(name), VmReadiness.LEAVING, self.clock.monotonic_s()
+            )
+        self.client.request_permit(self.criteria, self.listener)
+        self.assertEqual(len(self.broker_service.requests), 1)
+        permit = self._permit()
+        self._advance(1)
+        self.client.permit_received(permit)
+        self.assertEqual(len(self.listener.permits), 1)
+
     def test_broker_that_queued_the_request_does_not_time_out(self) -> None:
         self.client.request_permit(self.criteria, self.listener)
         for _ in range(10):
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -178,6 +178,10 @@
         """Return the reactor's time as UTC since 1970."""
         return datetime.fromtimestamp(self.monotonic_s(), UTC)
 
+    def pause(self, pause_s: float) -> None:
+        """Advance the time but run no timers, as if the process was paused."""
+        self._reactor.rightNow += pause_s
+
 
 class FakeLog:
     """In-memory record log whose appends and reads can be made to fail.
