Grant no permits after a pause before the VM knows what it missed

Callers saw nothing; a server that had left or stated less while its broker was paused could get calls of that broker, beside those of the broker that had taken over, and each used its whole rate limits. Cause: a broker that runs again acts on the state from before the pause until it has read what came meanwhile. Class: a role that is held on although others have taken it over. Evidence: by reading; nothing on the old code made a decision depend on a pause. The tests came with the change, so they were not seen to fail on the old code; without the line in _available_backends the one of the broker fails. Change: a tracker of the times at which the process ran tells a pause of over 1 s at its first use, before any timer has run. For 0.4 s after it the broker grants nothing and sends no probes; requests wait in its queue. Its share of the limits rises only 1.25 s later, as after a split view. Event 3003 says how long it was.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -58,11 +58,15 @@
     leader of a pool, the first choice as its broker. If it is not, requests
     come here only because the leader did not reply in time. This broker then
     uses no part of either limit, since the leader still uses its own share.
+    While ``is_settling``, called with the time, returns true, this VM may
+    not know which servers have left during a pause, nor that another broker
+    has taken over. It then grants nothing and sends no probes.
     """
 
     def __init__(self, own_name: str, retry_limits: RetryLimits) -> None:
         self.visible_share = float(0)
         self.leads: Callable[[Pool], bool] = _always_leads
+        self.is_settling: Callable[[float], bool] = _is_never_settling
         self.rate_limits = RateLimitTable()
         self._retry_limits = retry_limits
         self._backend_states: dict[str, BackendState] = {}
@@ -362,6 +366,8 @@
     def _available_backends(
         self, pool: Pool, now_s: float
     ) -> list[BackendState]:
+        if self.is_settling(now_s):
+            return []
         spec = self._services.get(pool[0])
         cold_per_s = (
             1 if spec is None else spec.cold_per_s * self._own_share(pool)
@@ -396,6 +402,10 @@
     return True
 
 
+def _is_never_settling(_now_s: float) -> bool:
+    return False
+
+
 def _is_new_instance(known: Backend, backend: Backend) -> bool:
     if known.started_ms != backend.started_ms:
         return True
--- a/packages/turmericpost-core/tests/grants/test_broker.py
+++ b/packages/turmericpost-core/tests/grants/test_broker.py
@@ -334,6 +334,18 @@
         (server,) = broker.backend_states()
         self.assertEqual(server.permits, 0)
 
+    # Guards against a broker that was paused and grants permits for servers
+    # that have left meanwhile, or beside the broker that has taken over.
+    def test_broker_that_settles_after_a_pause_grants_nothing(self) -> None:
+        broker = new_broker(1)
+        probe_backend(broker, 0, 3)
+        settled_s = 3.4
+        broker.is_settling = lambda now_s: now_s < settled_s
+        self.assertEqual(broker.request(new_request(1, 3), 3), ())
+        self.assertEqual(broker.decide(3.3), ())
+        decisions = probe_backend(broker, 0, settled_s)
+        self.assertEqual(len(grants_in(decisions)), 1)
+
     def test_permits_expire_after_their_deadline(self) -> None:
         broker = new_broker(1)
         broker.request(new_request(1, 0), 0)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -37,6 +37,7 @@
     Vm,
     VmReadiness,
 )
+from turmericpost_core.membership.pause_tracker import PauseTracker
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 from turmericpost_core.outcome.reasons import RefusalReason
 
@@ -73,6 +74,7 @@
         self._pushed_versions = KnownVersions()
         self._started_s = self.clock.monotonic_s()
         self._visible_share = VisibleShare()
+        self._pause_tracker = PauseTracker(self._started_s)
         self.view = DomainView(self._own_vm())
         self._build_fleet()
         self._build_call_path()
@@ -206,6 +208,8 @@
             ),
         )
         self.call_path = call_path
+        broker = call_path.broker_service.broker
+        broker.is_settling = self._pause_tracker.is_settling
         self.ingress = call_path.ingress
         self.ingress.refuses_calls = self._refuses_calls
         self._caller_port = new_caller_port(
@@ -336,10 +340,10 @@
 
     def _sweep(self) -> None:
         now_s = self.clock.monotonic_s()
-        age_s = now_s - self._started_s
-        broker = self.call_path.broker_service.broker
-        current_share = self.view.live_share(age_s, now_s)
-        broker.visible_share = self._visible_share.record(current_share, now_s)
+        pause_s = self._pause_tracker.tick(now_s)
+        if pause_s is not None:
+            log_event(LogEvent.PROCESS_PAUSED, pause_s=round(pause_s, 2))
+        self._update_visible_share(now_s)
         self._caller_port.check_timeouts()
         self._endpoint_port.check_timeouts()
         self.call_path.broker_service.evict_expired()
@@ -348,6 +352,14 @@
         if self.state.directory.expire(now_s):
             self._state_changed('expiry')
 
+    def _update_visible_share(self, now_s: float) -> None:
+        age_s = now_s - self._started_s
+        current_share = self.view.live_share(age_s, now_s)
+        if self._pause_tracker.is_settling(now_s):
+            current_share = 0
+        broker = self.call_path.broker_service.broker
+        broker.visible_share = self._visible_share.record(current_share, now_s)
+
     def _refuses_calls(self) -> bool:
         drain_plan = self._drain_plan
         if drain_plan is None:
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -74,6 +74,11 @@
         Level.WARNING,
         'a message from a peer cannot be decoded',
     )
+    PROCESS_PAUSED = (
+        3003,
+        Level.WARNING,
+        'the process did not run for a while; its broker grants no permits yet',
+    )
     CALL_REFUSED = (4001, Level.DEBUG, 'a call ended with a refusal')
     STORE_UNREACHABLE = (5001, Level.WARNING, 'reads of the store fail')
     STORE_REACHABLE = (5002, Level.INFO, 'reads of the store succeed again')
--- a/packages/turmericpost-entry/tests/gateway/test_malformed_messages.py
+++ b/packages/turmericpost-entry/tests/gateway/test_malformed_messages.py
@@ -7,18 +7,15 @@
 import zlib
 from pathlib import Path
 from typing import Any
-from unittest.mock import Mock, patch
+from unittest.mock import patch
 
 import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.testing import MemoryReactorClock
 
+from tests.gateway.node_harness import started_node
 from turmericpost.fleet.messages import UpdatePush
-from turmericpost.gateway.node import GatewayNode
-from turmericpost.gateway.settings import GatewaySettings, OperatingBounds
-from turmericpost.platform.call_headers import PlatformCallCodec
-from turmericpost.platform.store_client import StoreClient
 
 _RECORDED = json.loads(
     (Path(__file__).parent.parent / 'recorded' / 'e6563a3.json').read_text(
@@ -31,21 +28,6 @@
 _LIMITS = msgpack.packb([10, ['press', 'cairo-a', [['press-1', 1, 2.5, 0.1]]]])
 _UPDATE = zlib.decompress(bytes.fromhex(_RECORDED['update']))
 _SENDER = ('10.1.0.2', 7540)
-_SETTINGS = GatewaySettings(
-    name='edge-9',
-    host='10.1.0.1',
-    failure_domain='cairo-a',
-    region='cairo',
-    domain_regions={'cairo-a': 'cairo', 'alex-a': 'alex'},
-    callers=('10.1.0.1', 1),
-    readiness=('10.1.0.1', 2),
-    directory=('10.1.0.1', 3),
-    metrics=('10.1.0.1', 4),
-    peer_port=7540,
-    seed_hosts=('10.1.0.1',),
-    store=('10.9.0.1', 5),
-    operating_bounds=OperatingBounds(2, 6, 2, 5, 0.2, 64, 10),
-)
 _replacements = st.one_of(
     st.none(),
     st.booleans(),
@@ -70,15 +52,7 @@
 
     def setUp(self) -> None:
         self.reactor = MemoryReactorClock()
-        self.reactor.listenUDP = Mock()
-        self.node = GatewayNode(
-            self.reactor,
-            _SETTINGS,
-            StoreClient(self.reactor, _SETTINGS.store),
-            PlatformCallCodec(),
-        )
-        self.node.peers.transport = Mock()
-        self.node.start().unwrap()
+        self.node = started_node(self.reactor)
         self.failures: list[str] = []
         for module in ('background', 'observe.events'):
             patched = patch(
