Keep service time estimates below the latency objective

Cause: a response that waited for a paused VM has a latency of seconds, and the first one of a pool became its whole service time estimate. An estimate above the deadline of all calls denies each of them, so no call corrects it. Class: an estimate that stops the measurements that would correct it. Change: a service time above the objective counts as the objective, and the first one moves the initial estimate like any other. Estimates thus stay below the deadline, calls go on, and the mean heals.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -43,7 +43,7 @@
         latency objective.
         """
         if self._typical_service_time_s is None:
-            return INITIAL_SERVICE_TIME_SHARE * (
+            return _initial_service_time_s(
                 request.objective_at_s - request.arrived_s
             )
         return self._typical_service_time_s
@@ -54,16 +54,16 @@
         """Add the service time of a call, scaled to normal speed, to the mean.
 
         Service times below ``MIN_SERVICE_TIME_SHARE`` of the objective are
-        ignored.
+        ignored. Longer ones than the objective count as the objective, so that
+        calls keep being granted and their service times correct the mean.
         """
         if service_time_s < MIN_SERVICE_TIME_SHARE * objective_s:
             return
         if self._typical_service_time_s is None:
-            self._typical_service_time_s = service_time_s
-        else:
-            self._typical_service_time_s += LATENCY_WEIGHT * (
-                service_time_s - self._typical_service_time_s
-            )
+            self._typical_service_time_s = _initial_service_time_s(objective_s)
+        self._typical_service_time_s += LATENCY_WEIGHT * (
+            min(service_time_s, objective_s) - self._typical_service_time_s
+        )
 
     def record_grant(self, now_s: float) -> None:
         """Record the time of a grant to measure the interval between grants.
@@ -133,3 +133,7 @@
             now_s + factor * self.typical_service_time_s(request)
             > request.objective_at_s
         )
+
+
+def _initial_service_time_s(objective_s: float) -> float:
+    return INITIAL_SERVICE_TIME_SHARE * objective_s
--- a/packages/turmericpost-core/tests/grants/test_broker.py
+++ b/packages/turmericpost-core/tests/grants/test_broker.py
@@ -15,6 +15,7 @@
     probe_backend,
     reported_load,
 )
+from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.limits import INITIAL_SERVICE_TIME_SHARE
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
@@ -365,6 +366,32 @@
 
 
 class ServiceTimeEstimateTest(unittest.TestCase):
+    # Guards against a pool that denies all calls for good: one response waited
+    # for a paused VM, so that its service time is longer than any deadline.
+    def test_pool_serves_calls_after_a_very_long_service_time(self) -> None:
+        broker = new_broker(1)
+        self._finish_call(broker, 1, 0, latency_s=4)
+        for number in range(2, 6):
+            self._finish_call(broker, number, 5 + number, latency_s=0.3)
+
+    def test_one_long_service_time_does_not_redirect_later_calls(self) -> None:
+        broker = new_broker(1)
+        self._finish_call(broker, 1, 0, latency_s=4)
+        request = new_request(2, 5, may_redirect=True)
+        decisions = broker.request(request, 5) + probe_backend(broker, 0, 5)
+        self.assertEqual(len(grants_in(decisions)), 1)
+
+    def _finish_call(
+        self, broker: Broker, number: int, now_s: float, *, latency_s: float
+    ) -> None:
+        decisions = broker.request(new_request(number, now_s), now_s)
+        decisions += probe_backend(broker, 0, now_s)
+        (permit,) = grants_in(decisions)
+        report = AttemptReport(
+            AttemptOutcome.SUCCESS, latency_s, reported_load(100)
+        )
+        broker.release_permit(permit.permit_id, report, now_s + latency_s)
+
     def test_very_short_calls_do_not_lower_the_service_time(self) -> None:
         """Load pattern: calls that only test a route and end at once."""
         broker = new_broker(1)
