Ignore numbers out of range in load reports and deadlines

Callers of a server whose load report had a figure that is no finite number got a failure for a response that was whole; a caller that stated such a deadline lost its connection, and its call stayed in flight for good. Cause: nan and inf are numbers to the parser. They raised where they became an integer, a quotient or a timer; a slowness of 0 raised in the report to the broker. An invalid figure also moved the later ones to its place. Class: input that is checked for its form, not for its range. Change: figures that are not finite or are negative are invalid; a report without a valid running, waiting and slots is ignored, and a slowness of 0 or of more than a thousand times the usual one counts as the usual one.

--- a/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
@@ -39,8 +39,8 @@
 _MISDIRECTED = 421
 _MS_PER_S = 1000
 _USUAL_SLOWNESS_PERCENT = 100.0
-_FIELDS_WITH_SLOWNESS = 4
-_MIN_FIELDS = 3
+_MAX_SLOWNESS_PERCENT = 100_000
+_COUNTS = 3
 
 
 class PlatformCallCodec:
@@ -61,7 +61,9 @@
             host=host.partition(':')[0],
             path=path,
             call_id=_decode_text(head.first(_CALL_ID)),
-            time_left_s=None if left_ms is None else left_ms / _MS_PER_S,
+            time_left_s=None
+            if left_ms is None
+            else max(left_ms, 0) / _MS_PER_S,
         )
 
     def forwarded_head(
@@ -149,45 +151,57 @@
     """Decode the load report in a response: running, waiting, slots, slowness.
 
     The slowness is optional. It states how long work takes now, where 100 is
-    the usual time. Returns ``None`` if there is no valid report.
+    the usual time, which is also assumed if it is invalid. Returns ``None`` if
+    one of the others is invalid or missing.
     """
     field = head.first(_LOAD)
     if field is None:
         return None
-    parsed_numbers = [_parse_number(text) for text in field.split(b',')]
-    numbers = [number for number in parsed_numbers if number is not None]
-    if len(numbers) < _MIN_FIELDS:
+    figures = [_parse_amount(text) for text in field.split(b',')]
+    counts = figures[:_COUNTS]
+    if len(counts) < _COUNTS or None in counts:
         return None
-    has_slowness = len(numbers) >= _FIELDS_WITH_SLOWNESS
-    cold_ms = _parse_number(head.first(_WARMUP_LEFT))
+    running, waiting, slots = (int(count or 0) for count in counts)
+    cold_ms = _parse_amount(head.first(_WARMUP_LEFT))
     is_probe = head.first(_BACKEND_ID) is not None
     if cold_ms is None and is_probe:
         cold_ms = 0
     return ReportedLoad(
-        running=int(numbers[0]),
-        waiting=int(numbers[1]),
-        slots=int(numbers[2]),
-        slowness_percent=numbers[3]
-        if has_slowness
-        else _USUAL_SLOWNESS_PERCENT,
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowness_percent=_valid_slowness(figures[_COUNTS:]),
         cold_left_s=None if cold_ms is None else cold_ms / _MS_PER_S,
     )
 
 
+def _valid_slowness(figures: list[float | None]) -> float:
+    """Return the first figure, or the usual slowness if it is invalid."""
+    slowness_percent = figures[0] if figures else None
+    if slowness_percent and slowness_percent <= _MAX_SLOWNESS_PERCENT:
+        return slowness_percent
+    return _USUAL_SLOWNESS_PERCENT
+
+
 def _decode_rate_limit(head: ResponseHead) -> float | None:
-    requests_per_s = _parse_number(head.first(_RATE_LIMIT))
-    if requests_per_s is None or not math.isfinite(requests_per_s):
-        return None
-    return requests_per_s if requests_per_s >= 0 else None
+    return _parse_amount(head.first(_RATE_LIMIT))
+
+
+def _parse_amount(text: bytes | None) -> float | None:
+    """Return a number that is not negative, ``None`` for other texts."""
+    number = _parse_number(text)
+    return None if number is None or number < 0 else number
 
 
 def _parse_number(text: bytes | None) -> float | None:
+    """Return a finite number, ``None`` for other texts."""
     if text is None:
         return None
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def _decode_text(field: bytes | None) -> str:
--- a/packages/turmericpost-entry/tests/platform/test_decoding.py
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -25,6 +25,7 @@
     StateVersion,
 )
 from turmericpost.fleet.update_codec import decode_update, encode_update
+from turmericpost.gateway.call_codec import ResponseInfo
 from turmericpost.http1.heads import RequestHead, ResponseHead
 from turmericpost.platform.call_headers import PlatformCallCodec
 from turmericpost.platform.operator_records import decode_operator_record
@@ -229,6 +230,39 @@
             )
             self.assertIsNone(info.reported_load)
 
+    # Guards against one response or request with a number out of range that
+    # raises an exception in its call, which then stays in flight for good.
+    def test_numbers_out_of_range_are_ignored(self) -> None:
+        for number in (b'nan', b'inf', b'-inf', b'-5', b'1e400'):
+            with self.subTest(number):
+                info = self._response_info(
+                    (b'x-server-load', b'1,0,3,' + number),
+                    (b'x-warmup-ms', number),
+                )
+                self.assertIsNone(info.reported_load.cold_left_s)
+                self.assertEqual(info.reported_load.slowness_percent, 100)
+                load_field = (b'x-server-load', number + b',0,3,100')
+                self.assertIsNone(self._response_info(load_field).reported_load)
+
+    def test_call_with_an_infinite_deadline_has_none(self) -> None:
+        for number, expected in ((b'nan', None), (b'inf', None), (b'-5', 0)):
+            with self.subTest(number):
+                head = RequestHead(
+                    'GET', b'/', [(b'x-deadline-ms', number)], keeps_alive=True
+                )
+                call = self.call_codec.read_call(head)
+                self.assertEqual(call.time_left_s, expected)
+
+    def test_slowness_without_bounds_is_ignored(self) -> None:
+        for load_field in (b'1,0,3,0', b'1,0,3,1e300'):
+            info = self._response_info((b'x-server-load', load_field))
+            self.assertEqual(info.reported_load.slowness_percent, 100)
+
+    def _response_info(self, *fields: tuple[bytes, bytes]) -> ResponseInfo:
+        return self.call_codec.read_response(
+            ResponseHead(200, list(fields), True)
+        )
+
     def test_rate_limit_is_a_finite_number_that_is_not_negative(self) -> None:
         for text, expected in (
             (b'2.5', 2.5),
