Let other VMs read removals that have not taken effect yet

Callers could be sent to a server that had left, for good, when the VM that read the store was lost within 2.5 s of an outage of the store, or had just given its state to a restarted VM. Cause: after an outage removals wait for servers to register again. A VM in that time announced the offset behind the removal together with a registry that still had the server; whoever took over reading went on behind the removal, and only the lost VM would have dropped the server. A full update cleared waiting removals in the same way. Class: a position in a log that is ahead of the state. Change: the offset that a VM passes on stays before the first waiting removal, and a full update returns to it before it clears them. Not changed: a VM that takes over then has no grace time of its own, so servers that lapsed in the outage can be missing until they register again.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from turmericpost_core.fleet.backends import Backend, Registration, Version
@@ -35,6 +35,14 @@
     MISMATCH = 'differs'
 
 
+@dataclass(frozen=True, slots=True)
+class _Removal:
+    """A removal that takes effect at ``due_s``, and an offset not after it."""
+
+    due_s: float
+    offset: int
+
+
 class BackendDirectory:
     """Registered backend servers as of an offset of the registry.
 
@@ -48,9 +56,19 @@
         self.version: Version = (0, 0)
         self.next_offset = 0
         self._grace_until_s = float(0)
-        self._missing_until_s: dict[str, float] = {}
+        self._removals: dict[str, _Removal] = {}
         self._change_log = ChangeLog()
 
+    @property
+    def resume_offset(self) -> int:
+        """Offset from which another VM with this registry reads on.
+
+        Removals that have not taken effect yet are not part of the registry, so
+        it has to read them again.
+        """
+        offsets = (removal.offset for removal in self._removals.values())
+        return min((self.next_offset, *offsets))
+
     def start_reregistration_grace(self, now_s: float) -> None:
         """Keep expired registrations for ``REREGISTRATION_GRACE_S`` from now.
 
@@ -90,7 +108,9 @@
         changed = False
         for backend_id in tuple(self.backends):
             if backend_id not in present:
-                changed = self._remove(backend_id, now_s) or changed
+                changed = (
+                    self._remove(backend_id, self.next_offset, now_s) or changed
+                )
         for record in listed:
             changed = self._apply(record, now_s) or changed
         self.next_offset = next_offset
@@ -117,7 +137,7 @@
         return RegistryUpdate(
             base=version,
             version=self.version,
-            next_offset=self.next_offset,
+            next_offset=self.resume_offset,
             digest=directory_digest(self.backends.values()),
             changes=changes,
         )
@@ -133,12 +153,13 @@
             return UpdateOutcome.MISMATCH
         self.backends = new_backends
         self.version = update.version
-        self.next_offset = max(self.next_offset, update.next_offset)
         if is_full:
-            self._missing_until_s.clear()
+            self.next_offset = self.resume_offset
+            self._removals.clear()
             self._change_log.reset(self.version)
+        self.next_offset = max(self.next_offset, update.next_offset)
         for change in () if is_full else update.changes:
-            self._missing_until_s.pop(change.backend_id, None)
+            self._removals.pop(change.backend_id, None)
             self._change_log.record(change)
         return UpdateOutcome.APPLIED
 
@@ -149,14 +170,14 @@
         """
         expired_ids = [
             backend_id
-            for backend_id, until_s in self._missing_until_s.items()
-            if now_s >= until_s
+            for backend_id, removal in self._removals.items()
+            if now_s >= removal.due_s
         ]
         if expired_ids:
             offset, expired_count = self.version
             self.version = (offset, expired_count + 1)
         for backend_id in expired_ids:
-            self._missing_until_s.pop(backend_id)
+            self._removals.pop(backend_id)
             self._drop(backend_id)
             self._change_log.record(
                 BackendChange(self.version, backend_id, None)
@@ -166,9 +187,9 @@
     def _apply(self, record: Registration, now_s: float) -> bool:
         backend = record.backend
         if backend is None:
-            changed = self._remove(record.backend_id, now_s)
+            changed = self._remove(record.backend_id, record.offset, now_s)
         else:
-            self._missing_until_s.pop(record.backend_id, None)
+            self._removals.pop(record.backend_id, None)
             changed = self._register(backend)
         if changed:
             self.version = max((record.offset + 1, 0), self.version)
@@ -198,12 +219,13 @@
         self.backends = {**self.backends, backend.backend_id: backend}
         return True
 
-    def _remove(self, backend_id: str, now_s: float) -> bool:
+    def _remove(self, backend_id: str, offset: int, now_s: float) -> bool:
         known = self.backends.get(backend_id)
         if known is None:
             return False
         if now_s < self._grace_until_s and not known.is_draining:
-            self._missing_until_s.setdefault(backend_id, self._grace_until_s)
+            removal = _Removal(self._grace_until_s, offset)
+            self._removals.setdefault(backend_id, removal)
             return False
         self._drop(backend_id)
         return True
--- a/packages/turmericpost-core/tests/fleet/test_directory.py
+++ b/packages/turmericpost-core/tests/fleet/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from tests.grants.samples import backend
 from turmericpost_core.fleet.backends import Backend, Registration
@@ -79,6 +80,39 @@
         self.assertTrue(self.directory.expire(10 + REREGISTRATION_GRACE_S))
         self.assertNotIn('b0', self.directory.backends)
 
+    # Guards against a server that has left and stays in use: the VM that read
+    # its removal is lost within the grace time, and the next one reads on.
+    def test_removal_in_the_grace_time_is_read_again_by_other_vms(self) -> None:
+        removal = removed(2, 0)
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records([removal], 10)
+        other = BackendDirectory()
+        other.apply_update(self.directory.update_since(None))
+        self.assertIn('b0', other.backends)
+        self.assertLessEqual(other.next_offset, removal.offset)
+        other.apply_records([removal], 12)
+        self.assertNotIn('b0', other.backends)
+
+    def test_server_missing_in_a_listing_is_read_again_by_other_vms(
+        self,
+    ) -> None:
+        self.directory.start_reregistration_grace(10)
+        self.directory.resync([registered(1, 1)], 9, 10)
+        self.assertEqual(self.directory.resume_offset, 2)
+        self.directory.expire(10 + REREGISTRATION_GRACE_S)
+        self.assertEqual(self.directory.resume_offset, 9)
+
+    def test_full_update_does_not_hide_a_removal_in_the_grace_time(
+        self,
+    ) -> None:
+        removal = removed(2, 0)
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records([removal, registered(3, 1)], 10)
+        update = full_update((3, 0), backend(0), backend(1))
+        self.directory.apply_update(replace(update, next_offset=2))
+        self.directory.apply_records([removal, registered(3, 1)], 20)
+        self.assertNotIn('b0', self.directory.backends)
+
     def test_draining_server_gets_no_grace_time(self) -> None:
         self.directory.apply_records([registered(2, 0, is_draining=True)], 9)
         self.directory.start_reregistration_grace(10)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -96,7 +96,7 @@
             read_age_s=min(age_s, MAX_READ_AGE_S),
             operator_offset=self.state.operator_offset,
             backends=self.state.directory.version,
-            next_offset=self.state.directory.next_offset,
+            next_offset=self.state.directory.resume_offset,
         )
 
     def is_reader(self) -> bool:
