--- a/packages/turmericpost-entry/tests/test_reactor_clock.py
+++ b/packages/turmericpost-entry/tests/test_reactor_clock.py
@@ -12,7 +12,7 @@
 
 from turmericpost.commands.demo import demo
 from turmericpost.commands.serve import serve
-from turmericpost.platform.__main__ import main
+from turmericpost.platform.process import main
 from turmericpost.reactor_clock import ReactorClock, use_monotonic_time
 
 _TOLERANCE_S = 60
