Close no caller connection that has an unread request

Callers saw a connection closed without a response in a planned stop of a VM that was paused at the same time. Cause: idle connections are closed by a timer, and after a pause timers run before the sockets are read, so a request that had arrived meanwhile was still unread. Class: a decision on what was read last, not on what is there. A test over sockets closes the idle connections right after a request was sent. Change: a connection that can be read is not idle. Conclusion: only a request that is still on its way can cross the closing.

--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import TypeAlias
@@ -174,11 +175,12 @@
         """Close the connection if no request is in progress.
 
         A connection that was used a moment ago or is new stays open, since a
-        request may be on its way.
+        request may be on its way, and so does one with unread bytes.
         """
         if self._exchanges or self._head_started_s is not None:
             return
-        if now_s - self._last_activity_s >= _MIN_SILENCE_S:
+        is_silent = now_s - self._last_activity_s >= _MIN_SILENCE_S
+        if is_silent and not _has_unread_bytes(self.transport.fileno()):
             self._close()
 
     def check_timeouts(self, now_s: float) -> None:
@@ -310,6 +312,15 @@
             connection.close_if_idle(now_s)
 
 
+def _has_unread_bytes(file_descriptor: int) -> bool:
+    """Return whether a socket can be read, or is already closed."""
+    if file_descriptor < 0:
+        return False
+    poller = select.poll()
+    poller.register(file_descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _codec_refusal(error: CodecError) -> RefusalReason:
     if error is CodecError.UPGRADE:
         return RefusalReason.UPGRADE_UNSUPPORTED
