Reset no connection while a planned stop closes the caller port

Callers that connected in the moment in which a stopping VM closed its port saw their connection reset without a response. Cause: the port was read once, which accepts as many connections as the last read did, often one, and Twisted closes the socket one iteration of the reactor later. What connected meanwhile was reset. Class: a check and an act with a gap between. Change: both interfaces close their port in one function: new connections are filtered where the system can, and after 0.1 s the pending ones are accepted until none is left, right before the socket closes. A caller whose connection is filtered has none after its connect timeout; the test counts that as no connection, as it does a refused one. A connection that was made still counts as cut. Conclusion: where filters are unsupported a gap of microseconds remains.

--- a/packages/turmericpost-entry/src/turmericpost/background.py
+++ b/packages/turmericpost-entry/src/turmericpost/background.py
@@ -44,6 +44,14 @@
         log_failure(Failure())
 
 
+async def await_logged(awaitable: Awaitable[object]) -> None:
+    """Wait for an awaitable, and log the exception if it raises one."""
+    try:
+        await awaitable
+    except Exception:
+        log_failure(Failure())
+
+
 async def _run_until_end(
     reactor: Any, loop: Callable[[], Awaitable[None]]
 ) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import Any
 
 from result import Err, Ok, Result
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 
-from turmericpost.background import run_logged, start_loop, start_periodic
+from turmericpost.background import (
+    await_logged,
+    run_logged,
+    start_loop,
+    start_periodic,
+)
 from turmericpost.fleet.messages import Message
 from turmericpost.fleet.peers import PeerCallbacks, PeerProtocol
 from turmericpost.fleet.state_sync import StateSync
@@ -28,6 +32,7 @@
 from turmericpost.gateway.peer_discovery import PeerDiscovery
 from turmericpost.gateway.ports import limited_settings, new_caller_port
 from turmericpost.gateway.settings import Address, GatewaySettings
+from turmericpost.http1.listen_drain import close_listening_port
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost_core.fleet.state import KnownVersions
@@ -116,7 +121,7 @@
         run_logged(self.peers.send_heartbeats)
         run_logged(self.peers.send_digests)
         while not self._is_drained(drain_plan):
-            run_logged(partial(self._continue_drain, drain_plan))
+            await self._continue_drain(drain_plan)
             await deferLater(self._reactor, _DRAIN_CHECK_INTERVAL_S)
         log_event(
             LogEvent.DRAIN_FINISHED, in_flight=len(self.ingress.in_flight)
@@ -371,21 +376,23 @@
             self.clock.monotonic_s(), len(self._caller_port.connections)
         )
 
-    def _continue_drain(self, drain_plan: DrainPlan) -> None:
+    async def _continue_drain(self, drain_plan: DrainPlan) -> None:
         """Refuse callers as far as the drain has come."""
         now_s = self.clock.monotonic_s()
         if drain_plan.closes_port(now_s):
-            self._close_caller_port()
+            await await_logged(self._close_caller_port())
         if drain_plan.refuses_calls(now_s):
-            self._caller_port.close_idle()
+            run_logged(self._caller_port.close_idle)
 
-    def _close_caller_port(self) -> None:
-        """Accept the connections that are waiting, and stop listening."""
+    async def _close_caller_port(self) -> None:
         listening_port = self._listening_caller_port
-        if listening_port is not None:
-            self._listening_caller_port = None
-            listening_port.doRead()
-            listening_port.stopListening()
+        if listening_port is None:
+            return
+        self._listening_caller_port = None
+        closed = await close_listening_port(self._reactor, listening_port)
+        if closed.is_err():
+            detail = str(closed.unwrap_err())
+            log_event(LogEvent.FILTER_UNSUPPORTED, detail=detail)
 
     def _record_refusal(self, reason: RefusalReason) -> None:
         self.metrics.refusals[reason] += 1
--- a/packages/turmericpost-entry/src/turmericpost/http1/listen_drain.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/listen_drain.py
@@ -1,18 +1,25 @@
-"""Stops new connections to a listening socket without resetting pending ones.
+"""Closes a listening socket without resetting pending connections.
 
 Closing a listening socket resets connections whose handshake is complete but
 that the process has not accepted yet. Before closing, a socket filter is
 therefore installed that drops SYN packets, so that no new connections arrive
-while the pending ones are accepted as usual.
+while the pending ones are accepted.
 """
 
 from __future__ import annotations
 
-import ctypes
 import socket
 import struct
+from array import array
+from typing import Any
 
 from result import Err, Ok, Result
+from twisted.internet.task import deferLater
+
+from turmericpost.http1.readability import is_readable
+
+_HANDSHAKE_S = 0.1
+_MAX_PENDING_CONNECTIONS = 4096
 
 _SO_ATTACH_FILTER = 26
 _TCP_FLAGS_BYTE = 13
@@ -37,10 +44,25 @@
 class FilterUnsupportedError(Exception):
     """The system has no socket filters.
 
-    Closing may reset pending connections.
+    A connection that arrives in the moment of the closing may be reset.
     """
 
 
+async def close_listening_port(
+    reactor: Any, port: Any
+) -> Result[None, FilterUnsupportedError]:
+    """Accept all pending connections of a Twisted port, and close it.
+
+    The error tells that new connections arrived until the end.
+    """
+    filter_result = stop_new_connections(port.socket)
+    await deferLater(reactor, _HANDSHAKE_S)
+    # The port closes its socket in the next iteration of the reactor.
+    reactor.callLater(0, _accept_pending, port)
+    await port.stopListening()
+    return filter_result
+
+
 def stop_new_connections(
     listening: socket.socket,
 ) -> Result[None, FilterUnsupportedError]:
@@ -48,8 +70,8 @@
     program = b''.join(
         struct.pack('HBBI', *instruction) for instruction in _INSTRUCTIONS
     )
-    program_buffer = ctypes.create_string_buffer(program)
-    address = ctypes.addressof(program_buffer)
+    program_buffer = array('B', program)
+    address, _ = program_buffer.buffer_info()
     filter_program = struct.pack('HL', len(_INSTRUCTIONS), address)
     try:
         listening.setsockopt(
@@ -58,3 +80,11 @@
     except OSError as error:
         return Err(FilterUnsupportedError(str(error)))
     return Ok(None)
+
+
+def _accept_pending(port: Any) -> None:
+    """Accept until no connection is left; one read may accept a single one."""
+    for _ in range(_MAX_PENDING_CONNECTIONS):
+        if not is_readable(port.fileno()):
+            return
+        port.doRead()
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 from collections import deque
 from collections.abc import Callable
 from typing import TypeAlias
@@ -15,6 +14,7 @@
 from turmericpost.http1.codec import CodecError, RequestParser
 from turmericpost.http1.exchange import Exchange
 from turmericpost.http1.heads import Headers, RequestHead
+from turmericpost.http1.readability import is_readable
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.http1.strict import is_malformed
 from turmericpost_core.clock import Clock
@@ -180,7 +180,7 @@
         if self._exchanges or self._head_started_s is not None:
             return
         is_silent = now_s - self._last_activity_s >= _MIN_SILENCE_S
-        if is_silent and not _has_unread_bytes(self.transport.fileno()):
+        if is_silent and not is_readable(self.transport.fileno()):
             self._close()
 
     def check_timeouts(self, now_s: float) -> None:
@@ -312,15 +312,6 @@
             connection.close_if_idle(now_s)
 
 
-def _has_unread_bytes(file_descriptor: int) -> bool:
-    """Return whether a socket can be read, or is already closed."""
-    if file_descriptor < 0:
-        return False
-    poller = select.poll()
-    poller.register(file_descriptor, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def _codec_refusal(error: CodecError) -> RefusalReason:
     if error is CodecError.UPGRADE:
         return RefusalReason.UPGRADE_UNSUPPORTED
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -24,7 +24,7 @@
     OwnershipTracker,
     OwnershipTrackerDependencies,
 )
-from turmericpost.http1.listen_drain import stop_new_connections
+from turmericpost.http1.listen_drain import close_listening_port
 from turmericpost.http1.server import CallerPort
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.observe.metrics import Metrics
@@ -46,7 +46,6 @@
 
 _PERIODIC_CHECK_INTERVAL_S = 0.25
 _DRAIN_CHECK_INTERVAL_S = 0.02
-_ACCEPT_GRACE_S = 0.1
 _MS_PER_S = 1000
 
 
@@ -303,12 +302,10 @@
         return 0 if table is None else table.document.limits.answers_valid_s
 
     async def _close_callers(self) -> None:
-        stop_result = stop_new_connections(self._ports[0].socket)
-        if stop_result.is_err():
-            detail = str(stop_result.unwrap_err())
+        closed = await close_listening_port(self._reactor, self._ports[0])
+        if closed.is_err():
+            detail = str(closed.unwrap_err())
             log_event(LogEvent.FILTER_UNSUPPORTED, detail=detail)
-        await deferLater(self._reactor, _ACCEPT_GRACE_S)
-        await self._ports[0].stopListening()
         while self._caller_port.connections:
             self._caller_port.close_idle()
             await deferLater(self._reactor, _DRAIN_CHECK_INTERVAL_S)
