Accept pending connections before a paused planned stop ends

Callers that connected to a stopping VM while its process was paused saw their connection reset without a response. Cause: after the pause the stop looked first whether it was over, by the clock and by the connections that it had accepted, and only then closed the port. The time was over and nothing was accepted, so the process ended with requests waiting in the backlog. Class: an end that is decided before the last look at what is there. Change: each round of the drain first closes the port, which accepts what waits, and then looks whether it is over. Conclusion: a pause that lasts beyond the latest end of a stop still cuts requests that nobody has read; the platform kills the process then anyway.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -120,9 +120,10 @@
         self._caller_port.is_draining = True
         run_logged(self.peers.send_heartbeats)
         run_logged(self.peers.send_digests)
+        await self._continue_drain(drain_plan)
         while not self._is_drained(drain_plan):
-            await self._continue_drain(drain_plan)
             await deferLater(self._reactor, _DRAIN_CHECK_INTERVAL_S)
+            await self._continue_drain(drain_plan)
         log_event(
             LogEvent.DRAIN_FINISHED, in_flight=len(self.ingress.in_flight)
         )
--- a/packages/turmericpost-entry/tests/gateway/fleet_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/fleet_harness.py
@@ -74,7 +74,7 @@
         self._reserved_ports = [ReservedPort() for _ in range(5)]
         self._ports = [reserved.number for reserved in self._reserved_ports]
         self._requests = 0
-        self._store_port = self._listen(self.store)
+        self.store_port = self._listen(self.store)
         for number in range(vms):
             self.nodes.append(self._new_node(number))
 
@@ -165,6 +165,10 @@
         )
         self.reactor.connectTCP(_host(vm), self._ports[0], factory, timeout=1)
 
+    def open_connection(self, vm: int) -> socket.socket:
+        """Return a blocking socket that is connected to a VM's caller port."""
+        return socket.create_connection((_host(vm), self._ports[0]), 1)
+
     def end_process(self, vm: int) -> None:
         """Close all sockets of a VM at once, as the end of its process does."""
         for descriptor in self._descriptors(vm):
@@ -206,7 +210,9 @@
             8,
         )
 
-    def run(self, steps: Callable[[], Awaitable[Any]]) -> Any:
+    def run(
+        self, steps: Callable[[], Awaitable[Any]], timeout_s: float = 40
+    ) -> Any:
         """Start the VMs, run a coroutine, and return what it returns."""
         ended: list[Any] = []
 
@@ -220,7 +226,7 @@
             Deferred.fromCoroutine(steps()).addBoth(end)
 
         self.reactor.callWhenRunning(begin)
-        self.reactor.callLater(40, self.reactor.stop)
+        self.reactor.callLater(timeout_s, self.reactor.stop)
         self.reactor.run(installSignalHandlers=False)
         for reserved in self._reserved_ports:
             reserved.release()
@@ -252,7 +258,7 @@
             metrics=(host, metrics),
             peer_port=peers,
             seed_hosts=(_host(0),),
-            store=('127.0.0.1', self._store_port),
+            store=('127.0.0.1', self.store_port),
             operating_bounds=_OPERATING_BOUNDS,
         )
         store = StoreClient(self.reactor, settings.store)
--- a/packages/turmericpost-entry/tests/gateway/test_planned_stop.py
+++ b/packages/turmericpost-entry/tests/gateway/test_planned_stop.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import socket
+import time
 import unittest
 from collections import Counter
 from collections.abc import Sequence
@@ -22,6 +24,7 @@
 _LENGTH = re.compile(rb'content-length: (\d+)\r\n', re.IGNORECASE)
 _REQUEST_DELAY_S = 0.03
 _STOP_UNTIL_READ_S = 4
+_PAUSE_S = 3.5
 _SEND_BUFFER_BYTES = 4096
 
 
@@ -114,6 +117,33 @@
         self.fleet.run(steps)
         self.assertEqual(caller.outcome, 'complete')
 
+    # Guards against a process that was paused while its stop went on, and exits
+    # before it accepts the connections that arrived meanwhile.
+    def test_paused_stop_answers_requests_that_arrived_meanwhile(self) -> None:
+        self.fleet.add_backend('b1')
+        callers: list[socket.socket] = []
+
+        async def steps() -> None:
+            await self.fleet.ready()
+            stopping = self._stop()
+            await self.fleet.pause(0.5)
+            self.fleet.reactor.callFromThread(self._call_and_pause, callers)
+            await stopping
+
+        self.fleet.run(steps)
+        with callers[0] as caller:
+            response = caller.recv(_SEND_BUFFER_BYTES)
+        self.assertTrue(response.startswith(b'HTTP/1.1 503'))
+
+    def _call_and_pause(self, callers: list[socket.socket]) -> None:
+        """Block the process after a request was sent to it.
+
+        When it goes on, timers run before sockets are read.
+        """
+        callers.append(self.fleet.open_connection(0))
+        callers[0].sendall(_CALL % len(callers))
+        time.sleep(_PAUSE_S)
+
     async def _connect_slow_reader(self, caller: SlowReader) -> None:
         self.fleet.limit_send_buffers(0, _SEND_BUFFER_BYTES)
         self.fleet.connect_caller(0, caller)
