Probe servers that have not reported to be warm for a while

Callers of a pool under a steady load of short calls were refused with 503 for half a second every 2.5 s, while its servers were idle. Cause: a server counts as warm for 1.5 s after it has said so, which only a probe tells. Only servers that may take a call were probed, and only if their report was stale. Under steady load responses keep reports fresh, so nobody is probed; after 1.5 s all servers of the pool come under the cold rate limit at the same time, and since none may take a call then, none is probed either. Class: a measurement that is taken only where its result is already known. Ruled out: the rate limit that one of the four servers stated (its attempts kept it, the others stood still, too), and the estimate of the service time. Change: a server that is over the cold rate limit only for lack of a recent report that it is warm is probed like one with a stale report.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_choice.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_choice.py
@@ -21,22 +21,22 @@
     """Backend servers that may take an attempt now, best first.
 
     ``has_fast_server`` tells whether any server of the pool, available or
-    not, was recently fast. ``has_stale_reports`` tells whether an available
-    server was left out because its load report is stale.
+    not, was recently fast. ``lacks_reports`` tells whether servers were left
+    out that a load report may make usable.
     """
 
     servers: tuple[BackendState, ...]
     has_fast_server: bool
-    has_stale_reports: bool
+    lacks_reports: bool
 
     def can_deny_at_once(self, request: PermitRequest) -> bool:
         """Return whether a request that got no server can be denied at once.
 
         A first attempt can be sent to another failure domain. A retry or a
         hedged attempt waits for the next decision, and so does any request
-        while a stale report may hide a suitable server.
+        while a missing report may hide a suitable server.
         """
-        return not (self.has_stale_reports or request.is_retry)
+        return not (self.lacks_reports or request.is_retry)
 
     def best_allowed(self, excluded: frozenset[str]) -> BackendState | None:
         """Return the best server that is not excluded."""
@@ -50,19 +50,18 @@
     pool: Iterable[BackendState],
     with_room: Iterable[BackendState],
     now_s: float,
+    *,
+    lacks_reports: bool = False,
 ) -> Candidates:
     """Return the available servers with a current report, best first.
 
     ``pool`` holds all servers of the pool, ``with_room`` those that may get
     one more attempt now.
     """
-    available = tuple(with_room)
-    fresh = [server for server in available if server.is_report_fresh(now_s)]
+    fresh = [server for server in with_room if server.is_report_fresh(now_s)]
     fresh.sort(key=lambda server: _preference(server, now_s))
     has_fast_server = any(server.was_recently_fast(now_s) for server in pool)
-    return Candidates(
-        tuple(fresh), has_fast_server, len(fresh) < len(available)
-    )
+    return Candidates(tuple(fresh), has_fast_server, lacks_reports)
 
 
 def choose_backend(
--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -104,15 +104,21 @@
         ``cold_per_s`` is the rate limit in attempts per second that applies
         unless the server is known to be warm.
         """
-        if now_s < self._backoff_until_s or self.backend.is_draining:
-            return False
-        if self.in_use(now_s) >= usable_slots(self.backend.slots):
-            return False
-        if self._failures and self.permits:
-            return False
-        if self.pacer.wait_s(now_s):
+        return self._has_free_slot(now_s) and self.is_within_cold_rate(
+            now_s, cold_per_s
+        )
+
+    def lacks_report(self, now_s: float, cold_per_s: float) -> bool:
+        """Return whether a load report would tell if there is room.
+
+        The last report is stale, or the server would be over the cold rate
+        limit unless it reports to be warm again.
+        """
+        if not self._has_free_slot(now_s):
             return False
-        return self.is_within_cold_rate(now_s, cold_per_s)
+        if self.is_within_cold_rate(now_s, cold_per_s):
+            return not self.is_report_fresh(now_s)
+        return not self.is_cold(now_s)
 
     def is_within_cold_rate(self, now_s: float, cold_per_s: float) -> bool:
         """Return whether the cold rate limit allows one more attempt.
@@ -230,6 +236,16 @@
         elif outcome is AttemptOutcome.GONE:
             self._backoff_until_s = now_s + MAX_BACKOFF_S
 
+    def _has_free_slot(self, now_s: float) -> bool:
+        """Return whether nothing but the cold rate limit may forbid an attempt."""
+        if now_s < self._backoff_until_s or self.backend.is_draining:
+            return False
+        if self.in_use(now_s) >= usable_slots(self.backend.slots):
+            return False
+        if self._failures and self.permits:
+            return False
+        return not self.pacer.wait_s(now_s)
+
     def _back_off(self, now_s: float) -> None:
         doublings = min(self._failures, _MAX_DOUBLINGS)
         pause_s = min(FIRST_BACKOFF_S * 2**doublings, MAX_BACKOFF_S)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -42,7 +42,7 @@
     ProbeRequest,
     ReportedLoad,
 )
-from turmericpost_core.grants.pool_state import PoolState, backends_to_probe
+from turmericpost_core.grants.pool_state import PoolState
 from turmericpost_core.grants.rate_limits import RateLimitTable, pool_of
 
 _PERCENT = 100.0
@@ -306,9 +306,15 @@
         return self._grant(request, server, now_s)
 
     def _candidates(self, pool: Pool, now_s: float) -> Candidates:
-        available_backends = self._available_backends(pool, now_s)
+        pool_state = self._pool(pool)
+        if self.is_settling(now_s):
+            return rank_candidates(pool_state.backend_states, (), now_s)
+        cold_per_s = self._cold_per_s(pool)
         return rank_candidates(
-            self._pool(pool).backend_states, available_backends, now_s
+            pool_state.backend_states,
+            pool_state.available_backends(now_s, cold_per_s),
+            now_s,
+            lacks_reports=pool_state.lacks_reports(now_s, cold_per_s),
         )
 
     def _grant(
@@ -356,23 +362,18 @@
     def _probe_requests(
         self, pool: Pool, now_s: float
     ) -> Iterator[ProbeRequest]:
-        """Yield probes of available servers whose load report is stale."""
-        for server in backends_to_probe(
-            self._available_backends(pool, now_s), now_s
-        ):
+        """Yield probes of servers that a load report may make usable."""
+        if self.is_settling(now_s):
+            return
+        cold_per_s = self._cold_per_s(pool)
+        for server in self._pool(pool).backends_to_probe(now_s, cold_per_s):
             server.record_probe_start(now_s)
             yield ProbeRequest(server.backend)
 
-    def _available_backends(
-        self, pool: Pool, now_s: float
-    ) -> list[BackendState]:
-        if self.is_settling(now_s):
-            return []
+    def _cold_per_s(self, pool: Pool) -> float:
+        """Return this broker's part of the cold rate limit of a server."""
         spec = self._services.get(pool[0])
-        cold_per_s = (
-            1 if spec is None else spec.cold_per_s * self._own_share(pool)
-        )
-        return self._pool(pool).available_backends(now_s, cold_per_s)
+        return 1 if spec is None else spec.cold_per_s * self._own_share(pool)
 
     def _end_attempt(
         self,
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -57,6 +57,29 @@
             if server.has_room(now_s, cold_per_s)
         ]
 
+    def lacks_reports(self, now_s: float, cold_per_s: float) -> bool:
+        """Return whether a load report may make another server usable."""
+        return any(
+            server.lacks_report(now_s, cold_per_s)
+            for server in self.backend_states
+        )
+
+    def backends_to_probe(
+        self, now_s: float, cold_per_s: float
+    ) -> list[BackendState]:
+        """Return the servers whose load reports are needed, least loaded first.
+
+        At most ``MAX_PROBES_PER_DECISION`` servers are returned.
+        """
+        due = [
+            server
+            for server in self.backend_states
+            if server.may_probe(now_s)
+            and server.lacks_report(now_s, cold_per_s)
+        ]
+        due.sort(key=lambda server: (server.in_use(now_s), server.probed_s))
+        return due[:MAX_PROBES_PER_DECISION]
+
     def expected_wait_s(
         self, ahead: int, request: PermitRequest, now_s: float
     ) -> float:
@@ -128,20 +151,3 @@
         ):
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
-
-
-def backends_to_probe(
-    backend_states: Iterable[BackendState],
-    now_s: float,
-) -> list[BackendState]:
-    """Return servers with stale load reports, the least loaded first.
-
-    At most ``MAX_PROBES_PER_DECISION`` servers are returned.
-    """
-    stale = [
-        server
-        for server in backend_states
-        if server.may_probe(now_s) and not server.is_report_fresh(now_s)
-    ]
-    stale.sort(key=lambda server: (server.in_use(now_s), server.probed_s))
-    return stale[:MAX_PROBES_PER_DECISION]
