Soak of entry VM processes with faults in series and at once

Cause: no check stopped, killed, paused and reloaded real processes while the store and the servers misbehaved; four faults showed as soon as one did.

--- /dev/null
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -0,0 +1,192 @@
+"""Entry VMs as operating system processes, which a soak stops and pauses."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+GRACE_S = 6
+_PORTS = {'Front': 18548, 'Ready': 18542, 'Control': 18544, 'Directory': 18546}
+_RESTART_PAUSE_S = 0.3
+_PARENT_DEATH_SIGNAL_OPTION = 1
+_LIBC = ctypes.CDLL(None)
+
+
+@dataclass(frozen=True)
+class VmSettings:
+    """What differs between the VMs of a soak."""
+
+    name: str
+    host: str
+    failure_domain: str
+    region: str
+    seed_host: str
+    store_port: int
+
+    def text(self) -> str:
+        """Return the settings file."""
+        listen = [
+            f'Listen.{use}={self.host}:{port}' for use, port in _PORTS.items()
+        ]
+        seed_port = _PORTS['Control']
+        return '\n'.join(
+            (
+                f'NodeName={self.name}',
+                f'Ip={self.host}',
+                f'Zone={self.failure_domain}',
+                f'Region={self.region}',
+                'Zones.nasr=cairo',
+                'Zones.smouha=alex',
+                *listen,
+                'InternalPortRange=18540,18541',
+                f'Seeds={self.seed_host}:{seed_port}',
+                f'Platform.Address=127.0.0.1:{self.store_port}',
+                'Bounds.DrainMs=2000',
+                f'Bounds.GraceS={GRACE_S}',
+                'Bounds.ConfigMs=2000',
+                'Bounds.ttl_max_s=5',
+                'Bounds.RetryBudgetRatio=0.2',
+                'Bounds.RetryBudgetSlack=64',
+                'Bounds.BudgetWindowS=10',
+                '',
+            )
+        )
+
+
+class VmProcess:
+    """An entry VM that is started again whenever it has ended.
+
+    ``killed_s`` and ``paused_s`` list the times of kills and of the ends of
+    pauses. ``faults`` describes what a process did that it should not.
+    """
+
+    def __init__(
+        self, reactor: Any, settings: VmSettings, folder: Path
+    ) -> None:
+        self.settings = settings
+        self.killed_s: list[float] = []
+        self.paused_s: list[float] = []
+        self.stop_begun_s: float | None = None
+        self.is_paused = False
+        self.faults: list[str] = []
+        self._reactor = reactor
+        self._expects_exit = False
+        self._log_start_bytes = 0
+        self._settings_path = folder / f'{settings.name}.conf'
+        self._log_path = folder / f'{settings.name}.log'
+        self._process: subprocess.Popen[bytes] | None = None
+        self._settings_path.write_text(settings.text(), encoding='utf-8')
+
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Address and port that callers connect to."""
+        return self.settings.host, _PORTS['Front']
+
+    @property
+    def is_running(self) -> bool:
+        """Whether there is a process, also a stopping or paused one."""
+        return self._process is not None
+
+    def start(self) -> None:
+        """Start the process; its log is appended to that of earlier ones."""
+        self.stop_begun_s = None
+        self._expects_exit = False
+        environment = {
+            **os.environ,
+            'TURMERICPOST_BOOT': str(self._settings_path),
+        }
+        self._log_path.touch()
+        self._log_start_bytes = self._log_path.stat().st_size
+        with self._log_path.open('ab') as log:
+            self._process = subprocess.Popen(
+                (sys.executable, '-m', 'turmericpost.platform'),
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_end_with_parent,
+            )
+
+    def terminate(self) -> None:
+        """Begin a planned stop."""
+        if self._process is not None and self.stop_begun_s is None:
+            self.stop_begun_s = self._reactor.seconds()
+            self._expects_exit = True
+            self._process.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        if self._process is not None:
+            self.killed_s.append(self._reactor.seconds())
+            self._expects_exit = True
+            self._process.kill()
+
+    def reload(self) -> None:
+        """Let the process read its settings again.
+
+        A process that has written no line yet may still be an interpreter that
+        ends on this signal.
+        """
+        has_begun = self._log_path.stat().st_size > self._log_start_bytes
+        if self._process is not None and has_begun:
+            self._process.send_signal(signal.SIGHUP)
+
+    def pause(self, pause_s: float) -> None:
+        """Stop the process from running for a while."""
+        process = self._process
+        if process is None or self.is_paused:
+            return
+        self.is_paused = True
+        process.send_signal(signal.SIGSTOP)
+        self._reactor.callLater(pause_s, self._resume, process)
+
+    def check(self) -> None:
+        """Notice the end of the process, and start the next one."""
+        if self._process is None:
+            return
+        now_s = self._reactor.seconds()
+        status = self._process.poll()
+        if status is None:
+            self._check_stop_time(now_s)
+            return
+        if not self._expects_exit:
+            self._add_fault(f'ended with {status}')
+        self._process = None
+        self._reactor.callLater(_RESTART_PAUSE_S, self.start)
+
+    def close(self) -> None:
+        """End the process for good."""
+        process = self._process
+        self._process = None
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def _resume(self, process: subprocess.Popen[bytes]) -> None:
+        self.is_paused = False
+        self.paused_s.append(self._reactor.seconds())
+        process.send_signal(signal.SIGCONT)
+
+    def _check_stop_time(self, now_s: float) -> None:
+        """Kill a process that outlasts its grace time, as the platform does."""
+        if self.stop_begun_s is None or now_s - self.stop_begun_s < GRACE_S:
+            return
+        was_paused = any(
+            paused_s > self.stop_begun_s for paused_s in self.paused_s
+        )
+        if not (was_paused or self.is_paused):
+            self._add_fault('outlasted its grace time')
+        self.kill()
+
+    def _add_fault(self, what: str) -> None:
+        self.faults.append(' '.join((self.settings.name, what)))
+
+
+def _end_with_parent() -> None:
+    """Let the system kill this process when the soak ends for any reason."""
+    _LIBC.prctl(_PARENT_DEATH_SIGNAL_OPTION, signal.SIGKILL)
