Leave bodies out of the reports of the soak

Cause: a run was reported with its body of some kilobytes. Change: the body is not shown. Conclusion: reports are lines again.

--- a/packages/turmericpost-entry/tests/soak/checks.py
+++ b/packages/turmericpost-entry/tests/soak/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeAlias
 
 from tests.soak.callers import SentRequest
@@ -22,7 +22,7 @@
     """A request that a backend server began to run."""
 
     backend_id: str
-    body: bytes
+    body: bytes = field(repr=False)
     begun_s: float
 
 
