Wait longer for the first request on a connection in a planned stop

Callers that took more than 0.1 s for the first request on a new connection to a VM in the last part of its planned stop saw the connection closed without a response. Cause: a connection without use for 0.1 s counts as idle, whether it has had a request or not. Callers use an open connection when they need it, but open a new one to send a request at once. Class: one bound for two states. Change: a connection that has had no request is idle after 1 s. A planned stop ends at the same latest time. The test of idle connections sends a request first, as its name says; the one of unread requests fails without the look at the socket, as before. Conclusion: callers that take longer than a second are still closed.

--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -24,6 +24,7 @@
 _MAX_PIPELINED_EXCHANGES = 8
 _CLOSE_LINGER_S = 1
 _MIN_SILENCE_S = 0.1
+_MIN_SILENCE_WITHOUT_REQUEST_S = 1.0
 
 ExchangeHandler: TypeAlias = Callable[[Exchange], None]
 
@@ -49,6 +50,7 @@
         self._response_paused = False
         self._reading_paused = False
         self._closing = False
+        self._has_had_request = False
         self._parse_failed = False
 
     @property
@@ -88,6 +90,7 @@
 
     def on_message_begin(self) -> None:
         """Handle the start of a request head."""
+        self._has_had_request = True
         self._target = b''
         self._headers = []
         self._head_bytes = 0
@@ -174,12 +177,18 @@
     def close_if_idle(self, now_s: float) -> None:
         """Close the connection if no request is in progress.
 
-        A connection that was used a moment ago or is new stays open, since a
-        request may be on its way, and so does one with unread bytes.
+        A connection that was used a moment ago stays open, since a request may
+        be on its way, and a new one stays open for longer, since its first
+        request is. So does one with unread bytes.
         """
         if self._exchanges or self._head_started_s is not None:
             return
-        is_silent = now_s - self._last_activity_s >= _MIN_SILENCE_S
+        min_silence_s = (
+            _MIN_SILENCE_S
+            if self._has_had_request
+            else _MIN_SILENCE_WITHOUT_REQUEST_S
+        )
+        is_silent = now_s - self._last_activity_s >= min_silence_s
         if is_silent and not is_readable(self.transport.fileno()):
             self._close()
 
--- a/packages/turmericpost-entry/tests/http1/test_closing.py
+++ b/packages/turmericpost-entry/tests/http1/test_closing.py
@@ -4,7 +4,6 @@
 
 import socket
 import unittest
-from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
 
@@ -14,7 +13,10 @@
 from turmericpost.http1.settings import CallerSettings
 
 _REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+_RESPONSE = b'HTTP/1.1 503'
 _IDLE_S = 0.3
+_LONG_IDLE_S = 1.3
+_RESPONSE_S = 0.2
 _TIMEOUT_S = 5
 _MAX_BYTES = 4096
 
@@ -39,34 +41,54 @@
             ('127.0.0.1', self.listening.getHost().port), _TIMEOUT_S
         )
         self.addCleanup(self.caller.close)
+        self._is_closed = False
 
     # Guards against a stop that closes a connection although a request on it
     # has arrived: timers run before sockets are read after a pause.
     def test_connection_with_an_unread_request_is_not_idle(self) -> None:
-        self.assertTrue(self._close_after(_REQUEST).startswith(b'HTTP/1.1 503'))
+        responses = self._close_after(_IDLE_S, _REQUEST, _REQUEST)
+        self.assertEqual(responses.count(_RESPONSE), 2)
 
     def test_idle_connection_is_closed(self) -> None:
-        self.assertEqual(self._close_after(b''), b'')
+        responses = self._close_after(_IDLE_S, _REQUEST, b'')
+        self.assertEqual(responses.count(_RESPONSE), 1)
+        self.assertTrue(self._is_closed)
 
-    def _close_after(self, request: bytes) -> bytes:
-        """Close the idle connections right after the caller has sent bytes.
+    # Guards against a stop that closes a connection that was just accepted,
+    # since its caller takes a moment to send the first request.
+    def test_connection_without_a_request_stays_open_for_longer(self) -> None:
+        self._close_after(_IDLE_S, b'', b'')
+        self.assertFalse(self._is_closed)
 
-        Returns what the caller receives.
+    def test_connection_that_gets_no_request_is_closed(self) -> None:
+        self._close_after(_LONG_IDLE_S, b'', b'')
+        self.assertTrue(self._is_closed)
+
+    def _close_after(self, idle_s: float, first: bytes, second: bytes) -> bytes:
+        """Close idle connections some time after the caller has sent bytes.
+
+        ``second`` is sent right before that. Returns what the caller receives.
         """
         received: list[bytes] = []
 
         def close_idle() -> None:
-            self.caller.sendall(request)
-            self.port.is_draining = True
+            self.caller.sendall(second)
             self.port.close_idle()
-            self.reactor.callLater(_IDLE_S, self._receive, received)
+            self.reactor.callLater(_RESPONSE_S, self._receive, received)
 
-        self.reactor.callLater(_IDLE_S, close_idle)
+        self.caller.sendall(first)
+        self.reactor.callLater(idle_s, close_idle)
         self.reactor.run(installSignalHandlers=False)
-        return received[0]
-
-    def _receive(self, received: list[Any]) -> None:
-        received.append(self.caller.recv(_MAX_BYTES))
+        return b''.join(received)
+
+    def _receive(self, received: list[bytes]) -> None:
+        self.caller.setblocking(False)
+        try:
+            while not self._is_closed:
+                received.append(self.caller.recv(_MAX_BYTES))
+                self._is_closed = not received[-1]
+        except BlockingIOError:
+            self._is_closed = False
         self.reactor.stop()
 
 
