Ignore a record that cannot be parsed, and read on after it

Callers saw: servers that drained got requests until they ended, and a service whose servers had all been replaced refused every call (DRAIN).

Conclusion: an unreadable record is logged as record-invalid and ends nothing.

--- /dev/null
+++ b/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
@@ -0,0 +1,40 @@
+"""Reading of JSON that other programs have written."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+MALFORMED_ERRORS = (ArithmeticError, LookupError, TypeError, ValueError)
+"""Exceptions that reading a field raises if it is missing or invalid."""
+
+_MAX_INTEGER = 0x7FFFFFFFFFFFFFFF
+
+
+def parse_json(text: bytes) -> Any:
+    """Return the value of a JSON text.
+
+    Raises ``ValueError`` if it cannot be parsed or is nested too deeply.
+    """
+    try:
+        return json.loads(text)
+    except RecursionError:
+        raise ValueError('nested too deeply') from None
+
+
+def read_text(fields: Any, name: str) -> str:
+    """Return a field that is a non-empty string."""
+    field = fields[name]
+    if not isinstance(field, str) or not field:
+        raise TypeError(f'{name} is not a non-empty string')
+    return field
+
+
+def read_count(fields: Any, name: str) -> int:
+    """Return a field that is an integer from 0 to 2**63 - 1."""
+    field = fields[name]
+    if not isinstance(field, int) or isinstance(field, bool):
+        raise TypeError(f'{name} is not an integer')
+    if not 0 <= field <= _MAX_INTEGER:
+        raise ValueError(f'{name} is out of range')
+    return field
--- a/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err, Ok, Result
 
+from turmericpost.platform.json_fields import MALFORMED_ERRORS, parse_json
 from turmericpost.platform.store_codec import KeyedRecord
 from turmericpost_core.fleet.operator_config import (
     CallerLimits,
@@ -42,8 +42,8 @@
     if record.key != CONFIG_KEY:
         return Err('unknown key')
     try:
-        config = _decode_config(json.loads(record.payload))
-    except (LookupError, TypeError, ValueError) as error:
+        config = _decode_config(parse_json(record.payload))
+    except MALFORMED_ERRORS as error:
         return Err(f'{type(error).__name__}: {error}')
     return Ok(OperatorChange(record.offset, config=config))
 
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from base64 import b64decode
 from dataclasses import dataclass
 from struct import Struct
 
 from result import Err, Ok, Result
 
+from turmericpost.platform.json_fields import MALFORMED_ERRORS, parse_json
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost.store.record_log import LogBatch, LogRecord
 
@@ -108,8 +108,8 @@
 def decode_listing(body: bytes) -> Result[Listing, StoreError]:
     """Decode one page of a listing."""
     try:
-        return Ok(_decode_listing(json.loads(body)))
-    except (KeyError, TypeError, ValueError) as error:
+        return Ok(_decode_listing(parse_json(body)))
+    except MALFORMED_ERRORS as error:
         return Err(_malformed_response(f'listing: {error!r}'))
 
 
@@ -151,6 +151,6 @@
     Returns ``None`` if it is missing or invalid.
     """
     try:
-        return int(json.loads(body)[name])
-    except (KeyError, TypeError, ValueError):
+        return int(parse_json(body)[name])
+    except MALFORMED_ERRORS:
         return None
