Refuse records that could not be passed on to other VMs

Cause: JSON can hold half of a surrogate pair and integers of any size, UTF-8 and msgpack cannot. Such a value in a registration, an operator's record or the announcement of a VM became part of the state, and encode_update raised an exception for each update from then on. Updates carry configuration, evacuations and registry together, so the other VMs of the failure domain kept what they had.

Callers saw: requests run by the old service, and 404 for added routes (CONFIG).

Change: check_field_types also checks for UTF-8 encoding and 64 bits, and the decoders of the store's records use it; names of registrations are bounded, ids are printable, keys keep bytes that are not UTF-8.

Conclusion: the state holds nothing that its encoders refuse.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/field_types.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/field_types.py
@@ -1,7 +1,8 @@
-"""Checks that the fields of decoded messages have the annotated types.
+"""Checks that decoded data has the annotated types and can be passed on.
 
-A field of another type would raise an exception only where it is used, after
-it has become part of the state of the VM.
+A field of another type, or one that no message to another VM can hold, would
+raise an exception only where it is used, after it has become part of the state
+of the VM.
 """
 
 from __future__ import annotations
@@ -10,17 +11,21 @@
 from collections.abc import Callable, Mapping
 from dataclasses import fields, is_dataclass
 from functools import lru_cache
-from types import UnionType
+from types import MappingProxyType, UnionType
 from typing import Any, TypeAlias, Union, get_args, get_origin, get_type_hints
 
 _TypeTest: TypeAlias = Callable[[Any], bool]
 
+_MIN_INTEGER = -0x8000000000000000
+_MAX_INTEGER = 0xFFFFFFFFFFFFFFFF
+
 
 def check_field_types(instance: Any) -> None:
     """Check the fields of a data class instance, also of nested ones.
 
-    Numbers must be finite. Raises ``TypeError`` with the name of the first
-    field that has another type.
+    Numbers must be finite, integers have at most 64 bits, and text must have a
+    UTF-8 encoding. Raises ``TypeError`` with the name of the first field that
+    has another type.
     """
     data_class = instance.__class__
     for name, has_type in _field_tests(data_class):
@@ -48,8 +53,9 @@
     origin = get_origin(annotation)
     if origin is not None:
         return _generic_test(origin, get_args(annotation))
-    if annotation is float:
-        return _is_finite_number
+    scalar_test = _SCALAR_TESTS.get(annotation)
+    if scalar_test is not None:
+        return scalar_test
     if is_dataclass(annotation):
         return lambda instance: _has_valid_fields(instance, annotation)
     return lambda instance: instance.__class__ is annotation
@@ -69,7 +75,30 @@
 
 
 def _is_finite_number(instance: Any) -> bool:
-    return instance.__class__ in {int, float} and math.isfinite(instance)
+    if instance.__class__ is int:
+        return _is_integer(instance)
+    return instance.__class__ is float and math.isfinite(instance)
+
+
+def _is_integer(instance: Any) -> bool:
+    if instance.__class__ is not int:
+        return False
+    return bool(_MIN_INTEGER <= instance <= _MAX_INTEGER)
+
+
+def _is_text(instance: Any) -> bool:
+    return instance.__class__ is str and (
+        instance.isascii() or _has_utf8_encoding(instance)
+    )
+
+
+def _has_utf8_encoding(text: str) -> bool:
+    """Return false for text with half of a surrogate pair."""
+    try:
+        text.encode('utf-8')
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _has_valid_fields(instance: Any, data_class: Any) -> bool:
@@ -95,3 +124,8 @@
         and all(map(key_test, instance))
         and all(map(entry_test, instance.values()))
     )
+
+
+_SCALAR_TESTS: Mapping[Any, _TypeTest] = MappingProxyType(
+    {float: _is_finite_number, int: _is_integer, str: _is_text}
+)
--- a/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
@@ -8,6 +8,9 @@
 MALFORMED_ERRORS = (ArithmeticError, LookupError, TypeError, ValueError)
 """Exceptions that reading a field raises if it is missing or invalid."""
 
+MAX_NAME_CHARACTERS = 255
+"""Maximum length of a name in a record: the limit of the record's key."""
+
 _MAX_INTEGER = 0x7FFFFFFFFFFFFFFF
 
 
@@ -22,11 +25,13 @@
         raise ValueError('nested too deeply') from None
 
 
-def read_text(fields: Any, name: str) -> str:
-    """Return a field that is a non-empty string."""
+def read_name(fields: Any, name: str) -> str:
+    """Return a field that is a string of 1 to ``MAX_NAME_CHARACTERS``."""
     field = fields[name]
-    if not isinstance(field, str) or not field:
-        raise TypeError(f'{name} is not a non-empty string')
+    if not isinstance(field, str):
+        raise TypeError(f'{name} is not a string')
+    if not 0 < len(field) <= MAX_NAME_CHARACTERS:
+        raise ValueError(f'{name} has {len(field)} characters')
     return field
 
 
--- a/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/operator_records.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from turmericpost.fleet.field_types import check_field_types
 from turmericpost.platform.json_fields import MALFORMED_ERRORS, parse_json
 from turmericpost.platform.store_codec import KeyedRecord
 from turmericpost_core.fleet.operator_config import (
@@ -29,23 +30,26 @@
 
     Returns the reason as text if the record is invalid.
     """
-    if record.key.startswith(EVACUATION_PREFIX):
-        domain = record.key.removeprefix(EVACUATION_PREFIX)
-        is_evacuated = bool(record.payload)
-        return Ok(
-            OperatorChange(
-                record.offset,
-                evacuated_domain=domain,
-                is_evacuated=is_evacuated,
-            ),
-        )
-    if record.key != CONFIG_KEY:
-        return Err('unknown key')
     try:
-        config = _decode_config(parse_json(record.payload))
+        return Ok(_decode_change(record))
     except MALFORMED_ERRORS as error:
         return Err(f'{type(error).__name__}: {error}')
-    return Ok(OperatorChange(record.offset, config=config))
+
+
+def _decode_change(record: KeyedRecord) -> OperatorChange:
+    if record.key.startswith(EVACUATION_PREFIX):
+        change = OperatorChange(
+            record.offset,
+            evacuated_domain=record.key.removeprefix(EVACUATION_PREFIX),
+            is_evacuated=bool(record.payload),
+        )
+    elif record.key == CONFIG_KEY:
+        config = _decode_config(parse_json(record.payload))
+        change = OperatorChange(record.offset, config=config)
+    else:
+        raise ValueError('unknown key')
+    check_field_types(change)
+    return change
 
 
 def _decode_config(body: Any) -> OperatorConfig:
--- a/packages/turmericpost-entry/src/turmericpost/platform/registry_records.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/registry_records.py
@@ -7,11 +7,12 @@
 
 from result import Err, Ok, Result
 
+from turmericpost.fleet.field_types import check_field_types
 from turmericpost.platform.json_fields import (
     MALFORMED_ERRORS,
     parse_json,
     read_count,
-    read_text,
+    read_name,
 )
 from turmericpost.platform.store_codec import KeyedRecord
 from turmericpost_core.fleet.backends import Backend, Registration
@@ -56,29 +57,40 @@
     Returns the reason as text if the record is invalid.
     """
     try:
-        return Ok(Vm(name=record.key, **parse_json(record.payload)))
+        return Ok(_decode_vm(record.key, parse_json(record.payload)))
     except MALFORMED_ERRORS as error:
         return Err(f'{type(error).__name__}: {error}')
 
 
 def _decode_backend(backend_id: str, entry: Any) -> Backend:
-    host, _, port = read_text(entry, 'Address').rpartition(':')
-    state = read_text(entry, 'State')
+    # The id is sent to the server in a header field.
+    if not backend_id.isprintable() or ' ' in backend_id or not backend_id:
+        raise ValueError('the key is not a printable id')
+    state = read_name(entry, 'State')
     if state not in _BACKEND_STATES:
         raise ValueError(f'State is {state!r}')
+    host, _, port = read_name(entry, 'Address').rpartition(':')
     if not host or not 0 < int(port) <= _MAX_PORT:
         raise ValueError('Address is not HOST:PORT')
     slots = read_count(entry, 'Slots')
     if slots < 1:
         raise ValueError(f'Slots is {slots}, but must be at least 1')
-    return Backend(
+    backend = Backend(
         backend_id=backend_id,
-        service=read_text(entry, 'Service'),
+        service=read_name(entry, 'Service'),
         host=host,
         port=int(port),
-        failure_domain=read_text(entry, 'Zone'),
+        failure_domain=read_name(entry, 'Zone'),
         slots=slots,
         is_draining=state == 'draining',
         cold_left_s=read_count(entry, 'WarmupLeftMs') / _MS_PER_S,
         started_ms=read_count(entry, 'born') if 'born' in entry else 0,
     )
+    check_field_types(backend)
+    return backend
+
+
+def _decode_vm(name: str, fields: Any) -> Vm:
+    vm = Vm(name=name, **fields)
+    check_field_types(vm)
+    return vm
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -18,7 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
-    """A record of a keyed topic; an empty payload deletes the key."""
+    """A record of a keyed topic; an empty payload deletes the key.
+
+    Bytes of the key that are not UTF-8 are kept as surrogate escapes, so that
+    different keys stay different.
+    """
 
     offset: int
     key: str
@@ -126,7 +130,7 @@
 def _decode_keyed(offset: int, record: bytes) -> KeyedRecord:
     key_bytes = record[0] if record else 0
     payload_start = 1 + key_bytes
-    key = record[1:payload_start].decode('utf-8', 'replace')
+    key = record[1:payload_start].decode('utf-8', 'surrogateescape')
     return KeyedRecord(offset, key, record[payload_start:])
 
 
