Take only IPv4 addresses and valid ports from the records of the store

Cause: any text before the last colon counted as a host, and int() takes spaces, underscores and other digits as part of a port. The prober encodes the host as ASCII; the exception ended the broker's pass over all servers of the pool. In the announcement of a VM a host name ends each round of heartbeats.

Callers saw: no service although the other servers of the pool were well.

Change: parse_address checks both where they are decoded.

Conclusion: an entry without a usable address harms only itself.

--- a/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
@@ -5,12 +5,17 @@
 import json
 from typing import Any
 
+from twisted.internet.abstract import isIPAddress
+
+from turmericpost.gateway.settings import Address
+
 MALFORMED_ERRORS = (ArithmeticError, LookupError, TypeError, ValueError)
 """Exceptions that reading a field raises if it is missing or invalid."""
 
 MAX_NAME_CHARACTERS = 255
 """Maximum length of a name in a record: the limit of the record's key."""
 
+_MAX_PORT = 65535
 _MAX_INTEGER = 0x7FFFFFFFFFFFFFFF
 
 
@@ -43,3 +48,18 @@
     if not 0 <= field <= _MAX_INTEGER:
         raise ValueError(f'{name} is out of range')
     return field
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in a text ``HOST:PORT``; the host is an IPv4 address.
+
+    Raises ``ValueError`` for other texts.
+    """
+    host, _, port = text.rpartition(':')
+    if not isIPAddress(host):
+        raise ValueError('the host is not an IPv4 address')
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError('the port is not a number')
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError('the port is out of range')
+    return host, int(port)
--- a/packages/turmericpost-entry/src/turmericpost/platform/registry_records.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/registry_records.py
@@ -10,6 +10,7 @@
 from turmericpost.fleet.field_types import check_field_types
 from turmericpost.platform.json_fields import (
     MALFORMED_ERRORS,
+    parse_address,
     parse_json,
     read_count,
     read_name,
@@ -20,7 +21,6 @@
 
 _MS_PER_S = 1000
 _BACKEND_STATES = frozenset(('ready', 'draining'))
-_MAX_PORT = 65535
 
 
 def decode_registration(record: KeyedRecord) -> Result[Registration, str]:
@@ -69,9 +69,7 @@
     state = read_name(entry, 'State')
     if state not in _BACKEND_STATES:
         raise ValueError(f'State is {state!r}')
-    host, _, port = read_name(entry, 'Address').rpartition(':')
-    if not host or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError('Address is not HOST:PORT')
+    host, port = parse_address(read_name(entry, 'Address'))
     slots = read_count(entry, 'Slots')
     if slots < 1:
         raise ValueError(f'Slots is {slots}, but must be at least 1')
@@ -79,7 +77,7 @@
         backend_id=backend_id,
         service=read_name(entry, 'Service'),
         host=host,
-        port=int(port),
+        port=port,
         failure_domain=read_name(entry, 'Zone'),
         slots=slots,
         is_draining=state == 'draining',
@@ -93,4 +91,6 @@
 def _decode_vm(name: str, fields: Any) -> Vm:
     vm = Vm(name=name, **fields)
     check_field_types(vm)
+    parse_address(vm.caller_address)
+    parse_address(f'{vm.host}:{vm.peer_port}')
     return vm
--- a/packages/turmericpost-entry/tests/gateway/test_foreign_records.py
+++ b/packages/turmericpost-entry/tests/gateway/test_foreign_records.py
@@ -29,6 +29,7 @@
     .replace('"WarmupLeftMs": 0', '"WarmupLeftMs": ' + '9' * 400)
     .encode(),
     json.dumps({**_ENTRY, 'Address': '127.0.0.1:70000'}).encode(),
+    json.dumps({**_ENTRY, 'Address': 'pr\u00e9sse:80'}).encode(),
 )
 
 
--- a/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
+++ b/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
@@ -144,11 +144,16 @@
                 config = record('config', {**_CONFIG, **changes})
                 self.assertTrue(decode_operator_record(config).is_err())
 
-    def test_vms_that_no_peer_could_get_are_invalid(self) -> None:
+    def test_vms_that_cannot_be_reached_are_invalid(self) -> None:
         fields = json.loads(encode_vm(_VM))
         for changes in (
+            {'host': 'vm.example'},
             {'host': '10.0.0.\ud83d'},
+            {'peer_port': 0},
+            {'peer_port': 70_000},
             {'peer_port': '80'},
+            {'caller_address': 'vm.example:80'},
+            {'caller_address': '10.0.0.1:70000'},
             {'failure_domain': 'nasr\ud83d'},
             {'started_ms': 2**70},
         ):
--- a/packages/turmericpost-entry/tests/platform/test_unreadable_records.py
+++ b/packages/turmericpost-entry/tests/platform/test_unreadable_records.py
@@ -78,6 +78,25 @@
             record = KeyedRecord(7, 'config', text.encode())
             self.assertTrue(decode_operator_record(record).is_err())
 
+    def test_addresses_that_cannot_be_connected_to_are_invalid(self) -> None:
+        for address in (
+            '10.0.0.9:70000',
+            '10.0.0.9:0',
+            '10.0.0.9:-1',
+            '10.0.0.9: 80',
+            '10.0.0.9:8_0',
+            '10.0.0.9:\u0668\u0660',
+            '10.0.0.999:80',
+            'press.example:80',
+            'pr\u00e9sse:80',
+            '10.0.0.9\r\nX: y:80',
+            ':80',
+            '10.0.0.9',
+        ):
+            with self.subTest(address):
+                decoded = decode_registration(registration(Address=address))
+                self.assertTrue(decoded.is_err())
+
     @given(st.binary(max_size=300), st.integers(0, 150))
     def test_any_bytes_are_decoded_or_invalid(
         self, tail: bytes, kept_bytes: int
