Wait for operator records no longer than the configuration bound allows

Cause: a read waited 8 s for a record and 1 s more for its response. A silent connection looks like a quiet one, so it was noticed after up to 9 s; the bound is 2 s. The next read came 0.6 s later and could use an idle connection that had gone silent, too.

Callers saw: requests run by the old service for 4 s after a new version (CONFIG).

Change: the wait is 0.55 of the configuration bound; a read follows at once after one missing response; a missing response closes the idle connections.

Conclusion: each wait's response is a sign of life within the bound.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
@@ -11,11 +11,14 @@
     """Period of store reads, and read age at which another VM takes over.
 
     Both are in seconds and follow from the drain bound, the time within which
-    a drain must take effect on every VM.
+    a drain must take effect on every VM. ``watch_wait_s`` is the time for
+    which a read waits for records of the operator; it follows from the time
+    within which a configuration must be in force.
     """
 
     period_s: float
     stale_after_s: float
+    watch_wait_s: float
 
 
 PERIOD_SHARE = 0.3
@@ -33,6 +36,14 @@
 next reader.
 """
 
+WATCH_WAIT_SHARE = 0.55
+"""Longest wait for operator records as a share of the configuration bound.
+
+A connection that has gone silent is noticed only when the response to the
+waiting read is missing. The rest of the bound is for the timeout of the
+response, another read and the updates of the other VMs.
+"""
+
 MAX_RETRY_PAUSE_S = 2.0
 """Maximum pause after failed reads.
 
@@ -40,10 +51,14 @@
 """
 
 
-def new_read_schedule(drain_bound_s: float) -> ReadSchedule:
-    """Return the schedule that meets a drain bound."""
+def new_read_schedule(
+    drain_bound_s: float, config_bound_s: float
+) -> ReadSchedule:
+    """Return the schedule that meets a drain and a configuration bound."""
     return ReadSchedule(
-        PERIOD_SHARE * drain_bound_s, STALE_SHARE * drain_bound_s
+        period_s=PERIOD_SHARE * drain_bound_s,
+        stale_after_s=STALE_SHARE * drain_bound_s,
+        watch_wait_s=WATCH_WAIT_SHARE * config_bound_s,
     )
 
 
--- a/packages/turmericpost-core/tests/fleet/state_sync_history.py
+++ b/packages/turmericpost-core/tests/fleet/state_sync_history.py
@@ -33,6 +33,7 @@
 HEARTBEAT_STEPS = 5
 READ_DURATION_S = 0.05
 DRAIN_BOUND_S = 2.0
+CONFIG_BOUND_S = 2.0
 FAULT_FREE_S = 3.0
 LOST_AFTER_S = 1.1
 PUBLISH_PROBABILITY = 0.03
@@ -84,7 +85,7 @@
         self.updates = 0
         self.mismatches = 0
         self._now_s = float(0)
-        self._schedule = new_read_schedule(DRAIN_BOUND_S)
+        self._schedule = new_read_schedule(DRAIN_BOUND_S, CONFIG_BOUND_S)
         self._servers: list[Registration] = [
             Registration(number, f'b{number}', backend(number))
             for number in range(SERVERS)
--- a/packages/turmericpost-core/tests/fleet/test_state_sync_history.py
+++ b/packages/turmericpost-core/tests/fleet/test_state_sync_history.py
@@ -10,6 +10,7 @@
 from unittest.mock import patch
 
 from tests.fleet.state_sync_history import (
+    CONFIG_BOUND_S,
     DRAIN_BOUND_S,
     DURATION_S,
     VMS,
@@ -57,7 +58,9 @@
             history = StateSyncSimulation(seed)
             history.faults.clear()
             expected_reads = (
-                DURATION_S / new_read_schedule(DRAIN_BOUND_S).period_s + VMS
+                DURATION_S
+                / new_read_schedule(DRAIN_BOUND_S, CONFIG_BOUND_S).period_s
+                + VMS
             )
             self.assertLessEqual(history.run().reads, expected_reads, seed)
 
--- a/packages/turmericpost-core/tests/membership/test_domain_view.py
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -112,7 +112,7 @@
 
 class StoreReaderSelectionTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.schedule = new_read_schedule(2)
+        self.schedule = new_read_schedule(2, 2)
 
     def test_first_vm_in_rank_reads(self) -> None:
         self.assertTrue(is_reader(('own', 'b'), 'own', {'b': 0}, self.schedule))
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -67,8 +67,12 @@
     async def watch_operator(
         self,
         from_offset: int,
+        wait_s: float,
     ) -> Result[OperatorRecords, StoreError]:
-        """Wait for operator records from an offset on and return them."""
+        """Return operator records from an offset on.
+
+        Waits up to ``wait_s`` seconds for the first record.
+        """
 
     def stop_watching(self) -> None:
         """End the wait of the current ``watch_operator`` call."""
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -63,6 +63,7 @@
         self._schedule = schedule
         self._callbacks = callbacks
         self._failures = 0
+        self._operator_failures = 0
         self._needs_backend_listing = False
         self._needs_operator_listing = False
         self._has_operator_listing = False
@@ -158,9 +159,12 @@
         if is_listing:
             read_result = await self._store.list_operator()
         else:
-            read_result = await self._store.watch_operator(offset)
+            read_result = await self._store.watch_operator(
+                offset, self._schedule.watch_wait_s
+            )
         if read_result.is_err():
             return self._operator_read_failed(read_result.unwrap_err())
+        self._operator_failures = 0
         self._apply_operator(read_result.unwrap(), is_listing=is_listing)
         return 0
 
@@ -168,13 +172,18 @@
         """Handle a failed read; return the seconds to wait before the next one.
 
         If the store no longer retains the records from the offset on, the next
-        read lists the newest record of each key instead.
+        read lists the newest record of each key instead. After one missing
+        response the next read follows at once on another connection.
         """
         if error.kind is StoreErrorKind.EXPIRED:
             self._needs_operator_listing = True
             log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
             return _IDLE_CHECK_S
-        return retry_pause_s(self._failures + 1, self._schedule)
+        self._operator_failures += 1
+        is_silent = error.kind is StoreErrorKind.NO_RESPONSE
+        if is_silent and self._operator_failures == 1:
+            return 0
+        return retry_pause_s(self._operator_failures, self._schedule)
 
     def _apply_operator(
         self,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -165,7 +165,10 @@
             self.clock,
             self._store,
             self.view,
-            new_read_schedule(settings.operating_bounds.drain_s),
+            new_read_schedule(
+                settings.operating_bounds.drain_s,
+                settings.operating_bounds.config_s,
+            ),
             self._state_changed,
             is_seed_vm=self._is_seed_vm,
         )
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -59,13 +59,13 @@
 LIST_TIMEOUT_S = 2.0
 """Timeout of one page of a listing, which may be a megabyte."""
 
-WATCH_WAIT_S = 8.0
-"""Time for which a read waits for records.
+WATCH_MARGIN_S = 0.3
+"""Time for the response to a read after its wait has ended.
 
-It is long enough that there are fewer than 10 reads a minute.
+Connections may go silent without being closed, so the response to each wait is
+also a sign of life of the connection.
 """
 
-_WATCH_TIMEOUT_MARGIN_S = 1.0
 _OK = 200
 _MS_PER_S = 1000
 _ERROR_KINDS = MappingProxyType(
@@ -136,17 +136,17 @@
     async def watch_operator(
         self,
         from_offset: int,
+        wait_s: float,
     ) -> Result[OperatorRecords, StoreError]:
         """Return records of the operator from an offset on.
 
-        Waits up to ``WATCH_WAIT_S`` seconds for the first record.
+        Waits up to ``wait_s`` seconds for the first record.
         """
         client = self._acquire_client()
         self._watch_client = client
-        query = _read_request(_OPERATOR_TOPIC, from_offset, WATCH_WAIT_S)
-        timeout_s = WATCH_WAIT_S + _WATCH_TIMEOUT_MARGIN_S
+        query = _read_request(_OPERATOR_TOPIC, from_offset, wait_s)
         response_body = await self._call(
-            'watch-operator', query, timeout_s, client
+            'watch-operator', query, wait_s + WATCH_MARGIN_S, client
         )
         self._watch_client = None
         decoded = response_body.and_then(
@@ -259,11 +259,18 @@
         self._busy_clients.discard(http_client)
         self._idle_clients.append(http_client)
         self._count_bytes(len(request.target) + len(request.body))
+        if exchanged.err() is HttpRequestError.NO_RESPONSE:
+            self._close_idle()
         body = exchanged.map_err(_store_error).and_then(self._body_or_error)
         outcome = body.unwrap_err().kind.value if body.is_err() else 'ok'
         self.outcomes[StoreOperationOutcome(operation, outcome)] += 1
         return body
 
+    def _close_idle(self) -> None:
+        """Close idle connections, which may have gone silent, too."""
+        for client in self._idle_clients:
+            client.close()
+
     def _body_or_error(
         self, response: HttpResponse
     ) -> Result[bytes, StoreError]:
--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -20,6 +20,7 @@
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
 DRAIN_BOUND_S = 2.0
+CONFIG_BOUND_S = 2.0
 
 
 def vm(name: str, domain: str = 'nasr') -> Vm:
@@ -39,7 +40,7 @@
             FakeClock(self.reactor),
             FakeStore(),
             DomainView(vm('own')),
-            new_read_schedule(DRAIN_BOUND_S),
+            new_read_schedule(DRAIN_BOUND_S, CONFIG_BOUND_S),
             self.changes.append,
             is_seed_vm=is_seed_vm,
         )
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -23,6 +23,7 @@
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
 DRAIN_BOUND_S = 2.0
+CONFIG_BOUND_S = 2.0
 STEP_S = 0.05
 WAIT_S = 10.0
 
@@ -35,6 +36,8 @@
         self.records: list[OperatorChange] = []
         self.error: StoreError | None = None
         self.can_list = True
+        self.silent_reads = 0
+        self.wait_s = float(0)
         self._watch: Deferred[None] | None = None
 
     @property
@@ -62,8 +65,13 @@
     async def watch_operator(
         self,
         from_offset: int,
+        wait_s: float,
     ) -> Result[OperatorRecords, StoreError]:
         self.calls['watch-operator'] += 1
+        self.wait_s = wait_s
+        if self.silent_reads:
+            self.silent_reads -= 1
+            return Err(StoreError(StoreErrorKind.NO_RESPONSE))
         if from_offset >= len(self.records) and self.error is None:
             self._watch = Deferred()
             await self._watch
@@ -105,7 +113,7 @@
         self.store = FakeStore()
         self.state = FleetState()
         self.changes: list[str] = []
-        self.schedule = new_read_schedule(DRAIN_BOUND_S)
+        self.schedule = new_read_schedule(DRAIN_BOUND_S, CONFIG_BOUND_S)
         self.reader = StoreReader(
             self.reactor,
             ReactorClock(self.reactor),
@@ -137,6 +145,29 @@
         calls += self.store.calls['read-backends']
         self.assertAlmostEqual(calls, expected_count, delta=1)
 
+    # Guards against a wait on a silent connection that is longer than the time
+    # within which a new version must be in force.
+    def test_wait_for_operator_records_is_shorter_than_the_bound(self) -> None:
+        self.reader.start()
+        self.advance_time(1)
+        self.assertLess(self.store.wait_s, CONFIG_BOUND_S)
+
+    def test_wait_without_response_is_followed_by_a_read_at_once(self) -> None:
+        self.reader.start()
+        self.store.silent_reads = 1
+        self.store.stop_watching()
+        self.reactor.advance(0)
+        self.assertEqual(self.store.silent_reads, 0)
+        self.store.write('nasr')
+        self.assertEqual(self.state.evacuated, {'nasr'})
+
+    def test_reads_without_responses_back_off(self) -> None:
+        self.reader.start()
+        self.store.silent_reads = 1000
+        self.store.stop_watching()
+        self.advance_time(WAIT_S)
+        self.assertLess(self.store.calls['watch-operator'], WAIT_S)
+
     def test_expired_records_are_listed_again(self) -> None:
         self._let_records_expire()
         self.store.error = None
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -32,6 +32,7 @@
     'Seq': 1,
     'born': 12,
 }
+_WAIT_S = 8.0
 _VM = Vm('vm1', '10.0.0.1', 7540, '10.0.0.1:80', 'nasr', 'cairo', 5)
 
 
@@ -158,7 +159,7 @@
                 'evacuate/nasr',
                 b'{}',
             )
-            return await store.client.watch_operator(0)
+            return await store.client.watch_operator(0, _WAIT_S)
 
         read = store.run(steps).unwrap()
         self.assertEqual(read.records[0].evacuated_domain, 'nasr')
@@ -169,7 +170,7 @@
 
         async def steps() -> Any:
             store.reactor.callLater(0.05, store.client.stop_watching)
-            return await store.client.watch_operator(0)
+            return await store.client.watch_operator(0, _WAIT_S)
 
         self._assert_error_kind(store.run(steps), StoreErrorKind.NO_RESPONSE)
 
--- a/packages/turmericpost-standins/src/turmericpost_standins/store/service.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/store/service.py
@@ -129,6 +129,20 @@
         self._write_limiter = _RateLimiter(self.limits.writes_per_s)
         self._read_limiter = _RateLimiter(self.limits.reads_per_s)
 
+    @property
+    def waiting_read_count(self) -> int:
+        """Number of reads that wait for a record."""
+        return len(self._waiting_reads)
+
+    def silence_waiting_reads(self) -> None:
+        """Never respond on the connections on which reads wait now.
+
+        The connections stay open.
+        """
+        for waiting_read in self._waiting_reads:
+            waiting_read.timer.cancel()
+        self._waiting_reads.clear()
+
     def partition(self, topic: str, number: int = 0) -> Partition:
         """Return a partition of a topic; create it empty if it does not exist."""
         return self._partitions.setdefault((topic, number), Partition())
