--- a/packages/turmericpost-entry/tests/soak/vm_process.py
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -16,6 +16,7 @@
 _PORTS = {'Front': 18548, 'Ready': 18542, 'Control': 18544, 'Directory': 18546}
 _RESTART_PAUSE_S = 0.3
 _PARENT_DEATH_SIGNAL_OPTION = 1
+_KB_PER_MB = 1024
 _LIBC = ctypes.CDLL(None)
 
 
@@ -73,6 +74,7 @@
         self.settings = settings
         self.killed_s: list[float] = []
         self.paused_s: list[float] = []
+        self.started_s = float(0)
         self.stop_begun_s: float | None = None
         self.is_paused = False
         self.faults: list[str] = []
@@ -94,8 +96,25 @@
         """Whether there is a process, also a stopping or paused one."""
         return self._process is not None
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """Largest resident size of the current process so far."""
+        assert self._process is not None
+        path = Path('/proc', str(self._process.pid), 'status')
+        for line in path.read_text(encoding='ascii').splitlines():
+            if line.startswith('VmHWM:'):
+                return int(line.split()[1]) / _KB_PER_MB
+        raise LookupError(path)
+
+    def is_settled(self, since_s: float) -> bool:
+        """Return whether the process has run without a fault since a time."""
+        if not self.is_running or self.is_paused or self.stop_begun_s:
+            return False
+        return max((self.started_s, *self.paused_s)) < since_s
+
     def start(self) -> None:
         """Start the process; its log is appended to that of earlier ones."""
+        self.started_s = self._reactor.seconds()
         self.stop_begun_s = None
         self._expects_exit = False
         environment = {
