Let the soak add odd registrations and call routes that were just added

The users' own runs showed requests refused with 404 for routes that had been added (CONFIG, DENIED).

The soak also takes refusals of proper requests as broken promises.

--- a/packages/turmericpost-entry/tests/gateway/test_foreign_records.py
+++ b/packages/turmericpost-entry/tests/gateway/test_foreign_records.py
@@ -54,6 +54,27 @@
 
         self.assertTrue(self.fleet.run(steps))
 
+    # Guards against requests that are refused with 404 as only an older version
+    # allows, at the VMs that do not read the store themselves.
+    def test_added_route_is_served_by_all_vms_after_a_foreign_record(
+        self,
+    ) -> None:
+        self.fleet.add_backend('b1')
+        entry = json.dumps({**_ENTRY, 'Service': '\ud800press'}).encode()
+
+        async def steps() -> list[int]:
+            await self.fleet.ready()
+            self.fleet.store.put_keyed('keyed.servers', 'i-5d637a8a', entry)
+            await self.fleet.pause(1)
+            self.fleet.configure(2, route('/a/'), route('/added/'))
+            await self.fleet.pause(_CONFIG_S)
+            responses = [
+                await self.fleet.call(vm, '/added/x') for vm in range(4)
+            ]
+            return [response.status for response in responses]
+
+        self.assertEqual(self.fleet.run(steps), [200] * 4)
+
     # Guards against a record that hides all later records of the registry.
     def test_server_that_drains_after_foreign_records_gets_no_calls(
         self,
--- a/packages/turmericpost-entry/tests/soak/checks.py
+++ b/packages/turmericpost-entry/tests/soak/checks.py
@@ -14,6 +14,7 @@
 _MAX_LIMITED_RUNS = 1.5 * LIMIT_PER_S * _LIMIT_WINDOW_S + 5
 _MIN_SERVED_SHARE = 0.9
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+_REFUSED_AS_WRONG = frozenset(range(300, 500)) - _NOT_RUN_STATUSES
 _OK = 200
 
 
@@ -35,6 +36,8 @@
         yield _describe('ran twice', request, runs)
     if request.is_order and request.status in _NOT_RUN_STATUSES and runs:
         yield _describe('ran, and was refused', request, runs)
+    if request.status in _REFUSED_AS_WRONG:
+        yield _describe('was proper, and refused as wrong', request, len(runs))
     if request.status == _OK and request.response_id != request.request_id:
         yield _describe('got another response', request, request.response_id)
     if request.is_cut and not _may_be_cut(request, runs):
@@ -61,6 +64,15 @@
         yield f'{served} of {len(last)} served at the end'
 
 
+def check_added_route(statuses: Sequence[tuple[str, int]]) -> Iterator[str]:
+    """Yield the VMs that do not know a route in time, by their statuses."""
+    if not statuses:
+        yield 'no VM was asked for the added route'
+    for vm, status in statuses:
+        if status in _REFUSED_AS_WRONG:
+            yield f'{vm} refused a request for an added route with {status}'
+
+
 def check_rate_limit(times_s: Sequence[float]) -> Iterator[str]:
     """Yield what is wrong if a limited server got too many requests.
 
--- a/packages/turmericpost-entry/tests/soak/soak.py
+++ b/packages/turmericpost-entry/tests/soak/soak.py
@@ -14,17 +14,25 @@
 from random import Random
 from tempfile import TemporaryDirectory
 
-from tests.gateway.fleet_harness import DOMAINS, Fleet, route
+from tests.gateway.fleet_harness import (
+    DOMAINS,
+    CallerHostClient,
+    Fleet,
+    route,
+)
 from tests.soak.callers import Caller, SentRequest
 from tests.soak.checks import (
     LIMIT_PER_S,
     Run,
+    check_added_route,
     check_rate_limit,
     check_recovery,
     check_request,
     check_servers,
 )
+from tests.soak.foreign_records import foreign_record
 from tests.soak.vm_process import CHECK_INTERVAL_S, VmProcess, VmSettings
+from turmericpost.http1.serial_http_client import HttpRequest
 
 CHAOS_S = 14.0
 CALM_S = 9.0
@@ -34,7 +42,13 @@
 _STALE_ADDRESS_S = 3.0
 _MAX_ACTION_PAUSE_S = 0.9
 _DRAIN_S = 2.3
+_SETTLED_S = 3.0
+_CONFIG_S = 2.0
+_PROBE_PAUSE_S = 0.3
+_FOREIGN_RECORDS = 6
 _ROUTES = (route('/a/'), route('/order/', RouteType='non_idempotent'))
+_PASSING_ROUTES = tuple(route(f'/passing{number}/') for number in range(4))
+_ADDED_ROUTE = route('/added/')
 
 
 @dataclass(frozen=True)
@@ -53,6 +67,7 @@
         self.actions: list[str] = []
         self.callers: list[Caller] = []
         self._random = Random(seed)
+        self._content_random = Random(f'content of {seed}')
         self._size = size
         self._fleet = Fleet(vms=0)
         self._reactor = self._fleet.reactor
@@ -60,6 +75,8 @@
         self._left: set[str] = set()
         self._limited = ''
         self._evacuated = False
+        self._foreign_records = 0
+        self._added_statuses: list[tuple[str, int]] = []
         self._vms: list[VmProcess] = []
         self._network = _own_network()
         for number in range(2 * size.vms):
@@ -98,6 +115,9 @@
         await self._fleet.pause(_START_S)
         for caller in self.callers:
             caller.connect()
+        for _ in range(_FOREIGN_RECORDS):
+            at_s = self._content_random.uniform(0, CHAOS_S)
+            self._reactor.callLater(at_s, self._add_foreign_record)
         end_s = self._reactor.seconds() + CHAOS_S
         while self._reactor.seconds() < end_s:
             action = self._random.choice(_ACTIONS)
@@ -107,12 +127,22 @@
                 self._random.uniform(0, _MAX_ACTION_PAUSE_S)
             )
         self._limit_backend()
-        await self._fleet.pause(CALM_S)
+        await self._stay_calm()
         for calling in self.callers:
             calling.is_finished = True
         self._end_s = self._reactor.seconds()
         await self._fleet.pause(_DRAIN_S)
 
+    async def _stay_calm(self) -> None:
+        """Add a route, and call it at all VMs from the bound on."""
+        end_s = self._reactor.seconds() + CALM_S
+        await self._fleet.pause(_SETTLED_S)
+        self._publish(_ADDED_ROUTE)
+        await self._fleet.pause(_CONFIG_S)
+        while self._reactor.seconds() < end_s:
+            await self._call_added_route()
+            await self._fleet.pause(_PROBE_PAUSE_S)
+
     def _check_processes(self) -> None:
         for vm in self._vms:
             vm.check()
@@ -160,9 +190,38 @@
     def _reload(self) -> None:
         self._random.choice(self._vms).reload()
 
-    def _publish(self) -> None:
+    def _publish(self, *added: dict[str, object]) -> None:
+        """Publish a version; routes without callers come and go."""
         self._version += 1
-        self._fleet.configure(self._version, *_ROUTES)
+        count = self._content_random.randrange(len(_PASSING_ROUTES))
+        passing = self._content_random.sample(_PASSING_ROUTES, count)
+        self._fleet.configure(self._version, *_ROUTES, *passing, *added)
+
+    def _add_foreign_record(self) -> None:
+        self._foreign_records += 1
+        self._fleet.store.put_keyed(
+            'keyed.servers',
+            f'x-{self._foreign_records}',
+            foreign_record(self._content_random),
+        )
+
+    async def _call_added_route(self) -> None:
+        """Call the last route that was added at each VM that is settled."""
+        headers = (
+            (b'host', b'a.example'),
+            (b'x-request-id', b'added'),
+            (b'x-deadline-ms', b'1500'),
+        )
+        request = HttpRequest('GET', b'/added/x', b'', headers)
+        for vm in self._vms:
+            if not vm.is_settled(self._reactor.seconds() - _SETTLED_S):
+                continue
+            client = CallerHostClient(self._reactor, *vm.caller_address, 1)
+            response = await client.send(request, 2)
+            client.close()
+            if response.is_ok():
+                status = response.unwrap().status
+                self._added_statuses.append((vm.settings.name, status))
 
     def _evacuate(self) -> None:
         self._evacuated = not self._evacuated
@@ -250,7 +309,9 @@
                         request, request_runs, self._left, self._evacuated_names
                     )
                 )
+        runs.pop('added', None)
         self.violations.extend(f'{stray} was never sent' for stray in runs)
+        self.violations.extend(check_added_route(self._added_statuses))
         self._check_end()
 
     def _runs_by_request(self) -> dict[str, list[Run]]:
