Treat an invalid registration as a removal, and bound its log lines

Cause: a VM that reads the registry record by record kept what the key of an invalid record had named before; one that lists the registry dropped it. Two VMs could hold other servers under the same version. And each invalid record was logged once per key and reason, remembered for good, with details of any length: the writer decides how much that is.

Change: an invalid record removes what its key named, as in a listing. Lines are written for the first 256 keys with 200 characters of detail, and a gauge counts all.

Measured: test_invalid_record_removes_the_registration_of_its_key failed before (the read returned b3 only), passes now, as does test_lines_about_invalid_records_are_bounded.

Conclusion: the same record means the same on each VM, and costs a bounded amount of log and memory.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -25,7 +25,11 @@
 
 @dataclass(frozen=True)
 class Registrations:
-    """Registry records from one read, and the offset of the next read."""
+    """Registry records from one read, and the offset of the next read.
+
+    ``records`` contains a removal for each invalid record: the servers that it
+    or an earlier record of its key names are not to be used.
+    """
 
     records: tuple[Registration, ...]
     invalid: tuple[InvalidRecord, ...]
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -27,7 +27,11 @@
     retry_pause_s,
 )
 
+MAX_LOGGED_INVALID = 256
+"""Number of keys whose invalid records are logged; all are counted."""
+
 _IDLE_CHECK_S = 0.1
+_MAX_DETAIL_CHARACTERS = 200
 
 
 @dataclass(frozen=True)
@@ -44,7 +48,10 @@
 
 
 class StoreReader:
-    """Reads registry and operator records while this VM is the reader."""
+    """Reads registry and operator records while this VM is the reader.
+
+    ``invalid_count`` is the number of invalid records read so far.
+    """
 
     def __init__(
         self,
@@ -56,6 +63,7 @@
         callbacks: ReaderCallbacks,
     ) -> None:
         self.last_read_s = float('-inf')
+        self.invalid_count = 0
         self._reactor = reactor
         self._clock = clock
         self._store = store
@@ -69,7 +77,7 @@
         self._has_operator_listing = False
         self._was_reader = False
         self._is_running = False
-        self._logged_invalid: set[tuple[str, str]] = set()
+        self._logged_invalid: set[str] = set()
 
     def start(self) -> None:
         """Start the read loops."""
@@ -229,16 +237,20 @@
         self._store.stop_watching()
 
     def _log_invalid(self, invalid: tuple[InvalidRecord, ...]) -> None:
-        """Log invalid records, once per key and reason."""
+        """Count invalid records, and log the first one of each key.
+
+        Other writers may leave any number of them, so there is a limit.
+        """
+        self.invalid_count += len(invalid)
         for record in invalid:
-            record_id = (record.key, record.detail)
-            if record_id not in self._logged_invalid:
-                self._logged_invalid.add(record_id)
+            has_room = len(self._logged_invalid) < MAX_LOGGED_INVALID
+            if has_room and record.key not in self._logged_invalid:
+                self._logged_invalid.add(record.key)
                 log_event(
                     LogEvent.RECORD_INVALID,
                     key=record.key,
                     offset=record.offset,
-                    detail=record.detail,
+                    detail=record.detail[:_MAX_DETAIL_CHARACTERS],
                 )
 
     def _sleep(self, pause_s: float) -> Awaitable[None]:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -410,6 +410,7 @@
             'in_flight': len(self.ingress.in_flight),
             'store_read_age_s': state_version.read_age_s,
             'config_version': 0 if config is None else config.version,
+            'invalid_records': self.state_sync.reader.invalid_count,
             'backends': len(self.state.directory.backends),
             'probes': self.call_path.prober.probes_sent,
             'server_connections_opened': (
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -93,7 +93,7 @@
     RECORD_INVALID = (
         5004,
         Level.WARNING,
-        'a record is invalid and was ignored',
+        'a record is invalid; what its key named is not used',
     )
     READER_CHANGED = (
         5005,
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from operator import attrgetter
 from types import MappingProxyType
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -44,6 +45,7 @@
 )
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost.store.record_log import LogBatch
+from turmericpost_core.fleet.backends import Registration
 from turmericpost_core.membership.domain_view import Vm
 
 _OPERATOR_TOPIC = 'keyed.op'
@@ -299,8 +301,13 @@
 
 
 def _registrations(read: KeyedRead) -> Registrations:
-    records, invalid = _decode_all(read, decode_registration)
-    return Registrations(records, invalid, read.next_offset)
+    """Decode registrations; an invalid one removes what its key registered."""
+    valid, invalid = _decode_all(read, decode_registration)
+    removals = tuple(
+        Registration(record.offset, record.key, None) for record in invalid
+    )
+    records = sorted((*valid, *removals), key=attrgetter('offset'))
+    return Registrations(tuple(records), invalid, read.next_offset)
 
 
 def _operator_records(read: KeyedRead) -> OperatorRecords:
