--- a/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
@@ -54,6 +54,9 @@
     - ``slowness_percent``: processing time, in percent of the normal one.
     - ``closes``: every response closes its connection.
     - ``requests_per_s``: the rate limit that responses state, if any.
+    - ``states_leaving``: every response states that the server leaves.
+    - ``pause_s``: every request is rejected, and the rejection asks for a pause
+      of so many seconds; probes find the server healthy and idle.
     """
 
     lose_answers: int = 0
@@ -67,6 +70,8 @@
     slowness_percent: int = _NORMAL_SLOWNESS_PERCENT
     closes: bool = False
     requests_per_s: float | None = None
+    states_leaving: bool = False
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -97,11 +102,34 @@
     begun_s: float
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request or probe that arrived; a probe has no request id."""
+
+    request_id: str
+    arrived_s: float
+
+
+@dataclass(frozen=True)
+class Statement:
+    """A response that stated that the server leaves, or a pause.
+
+    ``pause_s`` is ``None`` if the response states none.
+    """
+
+    request_id: str
+    stated_s: float
+    is_leaving: bool
+    pause_s: float | None
+
+
 class PlatformBackend(Resource):
     """Serves every path; ``/health`` is a probe and never queued.
 
     A request takes one of the server's slots for its processing time and is
-    queued while all slots are taken. ``runs`` lists the requests processed.
+    queued while all slots are taken. ``runs`` lists the requests processed,
+    ``arrivals`` all that arrived, and ``statements`` the responses that stated
+    that the server leaves or wants a pause.
     """
 
     isLeaf = True  # noqa: WPS115
@@ -113,6 +141,8 @@
         self.cold_until_s = float(0)
         self.started_ms = 1
         self.runs: list[PlatformRunRecord] = []
+        self.arrivals: list[Arrival] = []
+        self.statements: list[Statement] = []
         self.probes = 0
         self.cancelled = 0
         self._reactor = reactor
@@ -141,6 +171,9 @@
         """Process, queue or reject a request; respond to probes at once."""
         late_copy = self._late_copies.pop(request.channel, b'')
         request.channel.transport.write(late_copy)
+        self.arrivals.append(
+            Arrival(_request_id(request).decode(), self._reactor.seconds())
+        )
         if request.path == b'/health':
             self._respond_to_probe(request)
             return NOT_DONE_YET
@@ -150,8 +183,11 @@
             self._respond_with_error(request, _MISDIRECTED_REQUEST)
             return NOT_DONE_YET
         request.notifyFinish().addErrback(self._cancel, request)
-        if self.faults.shed_requests:
-            self.faults.shed_requests -= 1
+        self._work_or_reject(request)
+        return NOT_DONE_YET
+
+    def _work_or_reject(self, request: Request) -> None:
+        if self._must_shed():
             self._shed(request)
         elif len(self._running) < self.spec.slots:
             self._start_work(request)
@@ -159,7 +195,13 @@
             self._queued.append(request)
         else:
             self._handle_full_queue(request)
-        return NOT_DONE_YET
+
+    def _must_shed(self) -> bool:
+        """Return whether a fault makes the server reject this request."""
+        if self.faults.shed_requests:
+            self.faults.shed_requests -= 1
+            return True
+        return self.faults.pause_s is not None
 
     def _respond_to_probe(self, request: Request) -> None:
         self.probes += 1
@@ -255,6 +297,10 @@
             b'X-Request-Id: %b' % request_id,
             b'X-Response-Stamp: stamp',
         ]
+        if self.faults.states_leaving:
+            lines.append(b'Server-Leaving: 1')
+            if length == len(body):
+                self._record_statement(request)
         if is_framed:
             lines.append(b'Content-Length: %d' % length)
         raw_response = _LINE_END.join((*lines, b'', body))
@@ -269,6 +315,9 @@
 
     def _shed(self, request: Request) -> None:
         request.setHeader(b'x-not-executed', b'1')
+        if self.faults.pause_s is not None:
+            self._state_pause(request)
+            self._set_load_header(request)
         self._repeat_later(request, b'503 Busy', b'', b'X-Not-Executed: 1')
         self._respond_with_error(request, _SERVICE_UNAVAILABLE)
 
@@ -292,6 +341,7 @@
         request.setHeader(b'x-request-id', _request_id(request))
         request.setResponseCode(status)
         request.setHeader(b'content-length', b'0')
+        self._state_leaving(request)
         request.finish()
 
     def _set_load_header(self, request: Request) -> None:
@@ -304,6 +354,33 @@
         request.setHeader(b'x-server-load', ','.join(map(str, load_figures)))
         if self.faults.requests_per_s is not None:
             request.setHeader(b'server-limit', str(self.faults.requests_per_s))
+        self._state_leaving(request)
+
+    def _state_leaving(self, request: Request) -> None:
+        if self.faults.states_leaving:
+            request.setHeader(b'server-leaving', b'1')
+            self._record_statement(request)
+
+    def _state_pause(self, request: Request) -> None:
+        pause_s = self.faults.pause_s
+        request.setHeader(b'retry-after', str(pause_s))
+        self._record_statement(request, is_leaving=False, pause_s=pause_s)
+
+    def _record_statement(
+        self,
+        request: Request,
+        *,
+        is_leaving: bool = True,
+        pause_s: float | None = None,
+    ) -> None:
+        self.statements.append(
+            Statement(
+                _request_id(request).decode(),
+                self._reactor.seconds(),
+                is_leaving,
+                pause_s,
+            )
+        )
 
     def _cancel(self, _failure: object, request: Request) -> None:
         """Drop a running or queued request whose connection closed."""
