Send no requests to servers that leave or have asked for a pause

Cause: neither `Server-Leaving` nor `Retry-After` of a 503 was read.

Change: the adapter decodes both fields; AvailabilityTable remembers them for a life of a server; the broker grants and probes by it, and each VM checks its own table when a permit arrives and when the connection is open. If all servers of a pool are closed, requests are denied at once with the earliest end, spread over a second.

test_check_detects_a_missing_retry_budget breaks the product on purpose and needs retries beyond the budget. The new back-off after rejections keeps them below it even without a budget, so that test now switches it off as well; its check is unchanged.

Conclusion: the VM that was told is bound on each way to a server, and the broker keeps the others away.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from turmericpost_core.fleet.backends import Backend
+from turmericpost_core.grants.availability import Availability
 from turmericpost_core.grants.limits import (
     COLD_SLOWDOWN,
     FAST_REPORT_VALIDITY_S,
@@ -27,6 +28,8 @@
 _RATE_WINDOW_S = 1.1
 _PERCENT = 100.0
 _MAX_DOUBLINGS = 5
+_MAX_REJECTION_DOUBLINGS = 6
+_MAX_USUAL_REJECTIONS = 2
 
 
 class BackendHealth(Enum):
@@ -37,6 +40,8 @@
     COLD = 'cold'
     FAILING = 'failing'
     UNHEALTHY = 'ill'
+    LEAVING = 'leaving'
+    PAUSED = 'paused'
 
 
 @dataclass(slots=True)
@@ -53,7 +58,9 @@
 
     Until a report confirms that the server is warm, attempts are limited to
     the rate that a cold server tolerates. ``pacer`` keeps the rate limit that
-    the server states.
+    the server states. Before ``closed_until_s`` it takes no requests; after
+    that, and after several rejections in a row, it gets one attempt at a time
+    until one succeeds.
     """
 
     def __init__(self, backend: Backend, now_s: float) -> None:
@@ -68,15 +75,21 @@
         self.failure_share = float(0)
         self.use_counts = UseCounts()
         self.pacer = RatePacer()
+        self.closed_until_s = _NEVER_S
         self._cold_until_s = now_s + backend.cold_left_s
         self._reported_warm_s = _NEVER_S
         self._other_load = 0
         self._recent_attempts_s: deque[float] = deque()
         self._failures = 0
+        self._rejections = 0
+        self._is_on_trial = False
         self._backoff_until_s = _NEVER_S
 
     def health(self, now_s: float) -> BackendHealth:
         """Return the health of the server at a monotonic time."""
+        if self.is_closed(now_s):
+            is_leaving = self.closed_until_s == float('inf')
+            return BackendHealth.LEAVING if is_leaving else BackendHealth.PAUSED
         if self._failures:
             return BackendHealth.FAILING
         if not self.is_healthy:
@@ -87,6 +100,18 @@
             return BackendHealth.UNKNOWN
         return BackendHealth.WARM
 
+    def is_closed(self, now_s: float) -> bool:
+        """Return whether the server leaves or has asked for a pause."""
+        return now_s < self.closed_until_s
+
+    def close_until(self, availability: Availability | None) -> None:
+        """Apply what the server states, ``None`` if it takes requests."""
+        if availability is None:
+            return
+        if availability.usable_from_s > self.closed_until_s:
+            self.closed_until_s = availability.usable_from_s
+            self._is_on_trial = True
+
     def in_use(self, now_s: float) -> int:
         """Return the number of slots known to be in use.
 
@@ -226,13 +251,16 @@
         self.permits = max(self.permits - 1, 0)
         if outcome is AttemptOutcome.SUCCESS:
             self._failures = 0
+            self._rejections = 0
+            self._is_on_trial = False
             self._update_failure_share(float(0))
         elif outcome is AttemptOutcome.FAILURE:
             self._update_failure_share(float(1))
             self._back_off(now_s)
         elif outcome is AttemptOutcome.SHED:
             self.reported_s = _NEVER_S
-            self._backoff_until_s = now_s + MIN_PROBE_INTERVAL_S
+            self._update_failure_share(float(1))
+            self._back_off_after_rejection(now_s)
         elif outcome is AttemptOutcome.GONE:
             self._backoff_until_s = now_s + MAX_BACKOFF_S
 
@@ -240,12 +268,27 @@
         """Return whether nothing but the cold rate limit may forbid an attempt."""
         if now_s < self._backoff_until_s or self.backend.is_draining:
             return False
+        if self.is_closed(now_s):
+            return False
         if self.in_use(now_s) >= usable_slots(self.backend.slots):
             return False
-        if self._failures and self.permits:
+        if self.permits and self._needs_success:
             return False
         return not self.pacer.wait_s(now_s)
 
+    @property
+    def _needs_success(self) -> bool:
+        """Whether only one attempt at a time is allowed until one succeeds."""
+        rejects_all = self._rejections > _MAX_USUAL_REJECTIONS
+        return bool(self._failures or rejects_all or self._is_on_trial)
+
+    def _back_off_after_rejection(self, now_s: float) -> None:
+        """Back off for longer with each rejection in a row."""
+        doublings = min(self._rejections, _MAX_REJECTION_DOUBLINGS)
+        pause_s = min(MIN_PROBE_INTERVAL_S * 2**doublings, MAX_BACKOFF_S)
+        self._backoff_until_s = now_s + pause_s
+        self._rejections += 1
+
     def _back_off(self, now_s: float) -> None:
         doublings = min(self._failures, _MAX_DOUBLINGS)
         pause_s = min(FIRST_BACKOFF_S * 2**doublings, MAX_BACKOFF_S)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -18,6 +18,7 @@
 
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.operator_config import ServiceSpec
+from turmericpost_core.grants.availability import AvailabilityTable
 from turmericpost_core.grants.backend_choice import (
     Candidates,
     choose_backend,
@@ -68,6 +69,7 @@
         self.leads: Callable[[Pool], bool] = _always_leads
         self.is_settling: Callable[[float], bool] = _is_never_settling
         self.rate_limits = RateLimitTable()
+        self.availability = AvailabilityTable()
         self._retry_limits = retry_limits
         self._backend_states: dict[str, BackendState] = {}
         self._pools: dict[Pool, PoolState] = {}
@@ -124,7 +126,7 @@
         pool = self._pool(request.pool)
         if request.permit_request_id in pool.queue:
             return ()
-        self._update_rate_limits(request.pool, now_s)
+        self._apply_statements(request.pool, now_s)
         denial = pool.immediate_denial(request, now_s)
         if denial is not None:
             return (denial,)
@@ -261,14 +263,15 @@
             self._release_unused(permit_id, now_s)
 
     def forget_old_requests(self, now_s: float) -> None:
-        """Drop grants whose deadlines have passed, and old rate limits."""
+        """Drop grants whose deadlines have passed, and old statements."""
         self._permit_table.forget_old_grants(now_s)
         self.rate_limits.forget_old(now_s)
+        self.availability.forget_old(now_s)
 
     def _decide_pool(self, pool: Pool, now_s: float) -> Iterator[Decision]:
         pool_state = self._pool(pool)
         ahead = 0
-        self._update_rate_limits(pool, now_s)
+        self._apply_statements(pool, now_s)
         candidates = self._candidates(pool, now_s)
         for request in tuple(pool_state.queue.in_order(now_s)):
             decision = self._decide_request(request, candidates, now_s)
@@ -353,11 +356,15 @@
     def _own_share(self, pool: Pool) -> float:
         return self.visible_share if self.leads(pool) else float(0)
 
-    def _update_rate_limits(self, pool: Pool, now_s: float) -> None:
+    def _apply_statements(self, pool: Pool, now_s: float) -> None:
+        """Apply what the servers of a pool have stated to their states."""
         share = max(self._own_share(pool), MIN_RATE_LIMIT_SHARE)
         for server in self._pool(pool).backend_states:
             limit = self.rate_limits.limit_of(server.backend)
             server.pacer.set_limit(limit, share, now_s)
+            server.close_until(
+                self.availability.in_force(server.backend, now_s)
+            )
 
     def _probe_requests(
         self, pool: Pool, now_s: float
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import modf
 
 from turmericpost_core.grants.backend_choice import Candidates
 from turmericpost_core.grants.backend_state import BackendState
@@ -24,22 +25,33 @@
 """Wait after which a late request is redirected: one decision interval."""
 
 
+RETURN_SPREAD_S = 1.0
+"""Seconds over which callers come back after the end of a pause."""
+
+_SPREAD_STEP = 0.618
+
+
 class PoolState:
     """Backend servers, queued requests and retry budget of one pool."""
 
     def __init__(self, retry_limits: RetryLimits) -> None:
         self.backend_states: tuple[BackendState, ...] = ()
-        self.slots = float(0)
         self.queue = RequestQueue()
         self._retry_limits = retry_limits
         self._budget: SlidingRetryBudget | None = None
+        self._denied_count = 0
 
     def install_backends(self, backend_states: Iterable[BackendState]) -> None:
-        """Replace the backend servers and recount the usable slots."""
+        """Replace the backend servers."""
         self.backend_states = tuple(backend_states)
-        self.slots = sum(
-            usable_slots(server.backend.slots) for server in self.backend_states
-        )
+
+    def open_backends(self, now_s: float) -> list[BackendState]:
+        """Return the servers that neither leave nor have asked for a pause."""
+        return [
+            server
+            for server in self.backend_states
+            if not server.is_closed(now_s)
+        ]
 
     def retry_budget(self, now_s: float) -> SlidingRetryBudget:
         """Return the retry budget; it is created at the first use."""
@@ -86,18 +98,18 @@
         """Return the expected wait in seconds behind ``ahead`` requests.
 
         A server with a rate limit counts as the slots that its rate keeps busy.
+        At least one server must be open.
         """
         service_time_s = self.queue.typical_service_time_s(request)
-        slots = self.slots
-        for server in self.backend_states:
+        open_backends = self.open_backends(now_s)
+        slots = float(0)
+        for server in open_backends:
+            usable = float(usable_slots(server.backend.slots))
             if server.pacer.rate_per_s is not None:
-                usable = usable_slots(server.backend.slots)
-                busy = server.pacer.rate_per_s * service_time_s
-                slots -= max(usable - busy, 0)
+                usable = min(usable, server.pacer.rate_per_s * service_time_s)
+            slots += usable
         queue_wait_s = self.queue.wait_s(ahead, slots, request, now_s)
-        next_start_s = min(
-            state.pacer.wait_s(now_s) for state in self.backend_states
-        )
+        next_start_s = min(state.pacer.wait_s(now_s) for state in open_backends)
         return max(queue_wait_s, next_start_s)
 
     def immediate_denial(
@@ -109,8 +121,8 @@
         end before its deadline; if the request may be redirected, before its
         latency objective.
         """
-        if not self.slots:
-            return PermitDenial(request, DenialReason.NO_BACKEND)
+        if not self.open_backends(now_s):
+            return self._denial_until_open(request, now_s)
         queue = self.queue
         wait_s = self.expected_wait_s(len(queue), request, now_s)
         end_s = now_s + wait_s + queue.typical_service_time_s(request)
@@ -132,8 +144,8 @@
         ``ahead`` is the number of requests in front of it. Returns ``None``
         if the request should keep waiting.
         """
-        if not self.slots:
-            return PermitDenial(request, DenialReason.NO_BACKEND)
+        if not self.open_backends(now_s):
+            return self._denial_until_open(request, now_s)
         waited_s = now_s - request.requested_s
         typical_service_time_s = self.queue.typical_service_time_s(request)
         if request.may_redirect and waited_s > REDIRECT_AFTER_S:
@@ -151,3 +163,22 @@
         ):
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
+
+    def _denial_until_open(
+        self, request: PermitRequest, now_s: float
+    ) -> PermitDenial:
+        """Return the denial while no server takes requests.
+
+        The time to retry is when the first pause ends. It is spread, so that
+        the callers do not all come back at that moment.
+        """
+        opens_s = min(
+            (server.closed_until_s for server in self.backend_states),
+            default=float('inf'),
+        )
+        if opens_s == float('inf'):
+            return PermitDenial(request, DenialReason.NO_BACKEND)
+        self._denied_count += 1
+        spread_s = RETURN_SPREAD_S * modf(self._denied_count * _SPREAD_STEP)[0]
+        retry_after_s = opens_s - now_s + spread_s
+        return PermitDenial(request, DenialReason.NO_BACKEND, retry_after_s)
--- a/packages/turmericpost-core/tests/grants/test_histories.py
+++ b/packages/turmericpost-core/tests/grants/test_histories.py
@@ -91,6 +91,7 @@
             patch.object(SlidingRetryBudget, 'try_spend', return_value=True),
             patch.object(AttemptHistory, 'may_attempt', always),
             patch('tests.grants.history.SHED_WEIGHT', 30),
+            patch.object(BackendState, '_back_off_after_rejection'),
         ):
             self.assertTrue(self._any_violation(exceeds_retry_budget))
 
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/request_timeline.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/request_timeline.py
@@ -16,6 +16,7 @@
 """
 
 _BACKEND_CHANGED = 'backend-changed'
+_BACKEND_CLOSED = 'backend-closed'
 _BROKER_CHANGED = 'broker-changed'
 _KNOWLEDGE_CHANGED = 'knowledge-changed'
 
@@ -48,6 +49,7 @@
             timeline.calls.append(event)
         elif event.get('name') in {
             _BACKEND_CHANGED,
+            _BACKEND_CLOSED,
             _BROKER_CHANGED,
             _KNOWLEDGE_CHANGED,
         }:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -19,6 +19,7 @@
     require_not_negative,
 )
 from turmericpost.fleet.messages import (
+    AvailabilityMessage,
     CancelMessage,
     DenialMessage,
     Digest,
@@ -33,7 +34,10 @@
     StateVersion,
     UpdatePush,
 )
-from turmericpost.fleet.rate_limit_codec import decode_rate_limits
+from turmericpost.fleet.statement_codec import (
+    decode_availability,
+    decode_rate_limits,
+)
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
@@ -177,6 +181,7 @@
     FinishMessage,
     UpdatePush,
     RateLimitsMessage,
+    AvailabilityMessage,
 )
 _DECODERS: tuple[Callable[[Any], Message], ...] = (
     _decode_heartbeat,
@@ -190,4 +195,5 @@
     _decode_finish,
     lambda fields: UpdatePush(*fields),
     decode_rate_limits,
+    decode_availability,
 )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
@@ -167,6 +167,33 @@
     limits: tuple[StatedRateLimit, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StatedAvailability:
+    """What a backend server stated ``age_s`` seconds ago about taking requests.
+
+    ``closed_s`` is the time in seconds from now for which it takes none, 0 if
+    it leaves.
+    """
+
+    backend_id: str
+    started_ms: int
+    is_leaving: bool
+    closed_s: float
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AvailabilityMessage:
+    """Backend servers of a pool that leave or have asked for a pause.
+
+    Sent to a broker ahead of permit requests.
+    """
+
+    service: str
+    failure_domain: str
+    statements: tuple[StatedAvailability, ...]
+
+
 Message: TypeAlias = (
     Heartbeat
     | KnownVms
@@ -179,4 +206,5 @@
     | CancelMessage
     | FinishMessage
     | RateLimitsMessage
+    | AvailabilityMessage
 )
--- a/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/attempt.py
@@ -12,6 +12,7 @@
 from turmericpost.http1.client import BackendConnection
 from turmericpost.http1.heads import Headers, ResponseHead
 from turmericpost_core.clock import Clock
+from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
@@ -29,6 +30,9 @@
 backend server fails.
 """
 
+PERMIT_EXPIRED = 'permit-expired'
+SERVER_CLOSED = 'server-closed'
+
 _MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -48,7 +52,8 @@
     """Collaborators of an attempt.
 
     ``release_permit`` reports the end of the attempt to the broker,
-    ``record_rate_limit`` what the backend server states about its rate limit.
+    ``record_rate_limit`` and ``record_availability`` what the backend server
+    states. ``may_send`` returns whether a server takes requests now.
     """
 
     connections: ServerConnections
@@ -56,6 +61,8 @@
     clock: Clock
     release_permit: Callable[[Permit, AttemptReport], None]
     record_rate_limit: Callable[[Permit, RateLimitStatement], None]
+    record_availability: Callable[[Permit, ResponseInfo], None]
+    may_send: Callable[[Backend], bool]
 
 
 class AttemptOwner(Interface):
@@ -140,8 +147,11 @@
         """Connect to the backend server and send the call.
 
         An idle connection is reused if it has been idle for at most
-        ``max_idle_s`` seconds.
+        ``max_idle_s`` seconds. Fails at once if the server takes no requests.
         """
+        if not self._dependencies.may_send(self.permit.backend):
+            self._fail_unsent(SERVER_CLOSED)
+            return
         abandon = self._dependencies.connections.connect(
             self.permit.backend,
             self,
@@ -193,8 +203,10 @@
         if self.is_finished:
             connection.close()
             return
-        if self._is_permit_expired():
-            self._release_unsent(connection)
+        unsent_cause = self._unsent_cause()
+        if unsent_cause is not None:
+            self._return_connection(connection)
+            self._fail_unsent(unsent_cause)
             return
         self._connection = connection
         connection.begin(self, to_head_request=self._call.is_head_request)
@@ -236,6 +248,7 @@
             and self._response is not None
         ):
             self._response.body = b''.join(self._chunks)
+            self._record_availability(self._response.info)
             self._is_streaming = self._call.start_streaming(
                 self, self._response
             )
@@ -246,6 +259,7 @@
         if response is None or self.is_finished:
             return
         info = response.info
+        self._record_availability(info)
         if info.is_wrong_backend:
             self._release_permit(AttemptOutcome.GONE)
             self._call.attempt_failed(
@@ -262,6 +276,10 @@
             self._release_permit(outcome, info.reported_load)
             response.body = b''.join(self._chunks)
             self._call.response_received(self, response)
+        if info.is_leaving:
+            self._dependencies.connections.close_idle(
+                self.permit.backend.backend_id
+            )
 
     def response_failed(self, end: AttemptEnd) -> None:
         """Report that the attempt ended without a complete response.
@@ -289,15 +307,21 @@
         now_s = self._dependencies.clock.monotonic_s()
         return now_s - self._granted_s > MAX_PERMIT_AGE_S
 
-    def _release_unsent(self, connection: BackendConnection) -> None:
-        """Return the permit and the connection; the call was not sent."""
-        backend_id = self.permit.backend.backend_id
-        self._dependencies.connections.release_connection(
-            backend_id, connection
-        )
+    def _unsent_cause(self) -> str | None:
+        """Return why the call must not be sent now, ``None`` if it may be."""
+        if self._is_permit_expired():
+            return PERMIT_EXPIRED
+        may_send = self._dependencies.may_send(self.permit.backend)
+        return None if may_send else SERVER_CLOSED
+
+    def _fail_unsent(self, cause: str) -> None:
+        """Return the permit; the call was not sent."""
         self._release_permit(AttemptOutcome.UNUSED)
-        self._call.attempt_failed(
-            self, AttemptStatus.NOT_SENT, 'permit-expired'
+        self._call.attempt_failed(self, AttemptStatus.NOT_SENT, cause)
+
+    def _return_connection(self, connection: BackendConnection) -> None:
+        self._dependencies.connections.release_connection(
+            self.permit.backend.backend_id, connection
         )
 
     def _record_rate_limit(self, info: ResponseInfo) -> None:
@@ -316,6 +340,11 @@
             statement = RateLimitStatement(info.requests_per_s, now_s)
         self._dependencies.record_rate_limit(self.permit, statement)
 
+    def _record_availability(self, info: ResponseInfo) -> None:
+        """Record what the server states, unless another one responded."""
+        if not info.is_wrong_backend:
+            self._dependencies.record_availability(self.permit, info)
+
     def _release_permit(
         self,
         outcome: AttemptOutcome,
@@ -337,9 +366,6 @@
         if self._connection is None:
             return
         if self._call.request_is_sent():
-            backend_id = self.permit.backend.backend_id
-            self._dependencies.connections.release_connection(
-                backend_id, self._connection
-            )
+            self._return_connection(self._connection)
         else:
             self._connection.cancel()
--- a/packages/turmericpost-entry/src/turmericpost/gateway/broker_service.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/broker_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any
 from typing import Protocol as Interface
@@ -16,10 +17,12 @@
     QueuedMessage,
 )
 from turmericpost.fleet.peers import PeerProtocol
+from turmericpost.gateway.call_codec import ResponseInfo
 from turmericpost.gateway.probes import BackendProber
-from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
+from turmericpost.gateway.statement_exchange import StatementExchange
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
+from turmericpost_core.grants.backend_state import BackendHealth
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.permits import (
     AttemptReport,
@@ -66,7 +69,7 @@
         broker: Broker,
         peers: PeerProtocol,
         prober: BackendProber,
-        rate_limits: RateLimitExchange,
+        statements: StatementExchange,
     ) -> None:
         self.broker = broker
         self.local_listener: LocalPermitListener | None = None
@@ -74,7 +77,7 @@
         self._clock = clock
         self._peers = peers
         self._prober = prober
-        self._rate_limits = rate_limits
+        self._statements = statements
         self._own_name = peers.view.own.name
         self._requester_addresses: dict[str, tuple[str, int]] = {}
         self._is_check_scheduled = False
@@ -141,14 +144,30 @@
             ),
         )
 
-    def record_rate_limit(
-        self, backend: Backend, requests_per_s: float
-    ) -> None:
-        """Record the rate limit in the response to a probe."""
+    def record_statements(self, backend: Backend, info: ResponseInfo) -> None:
+        """Record what a server states in its response to a probe."""
+        if info.requests_per_s is not None:
+            now_s = self._clock.monotonic_s()
+            self._statements.record_limit(
+                backend, RateLimitStatement(info.requests_per_s, now_s)
+            )
+        self._statements.record_availability(backend, info)
+
+    def closed_counts(self) -> dict[str, float]:
+        """Return how many backend servers leave and how many are paused."""
         now_s = self._clock.monotonic_s()
-        self._rate_limits.record(
-            backend, RateLimitStatement(requests_per_s, now_s)
+        healths = Counter(
+            backend_state.health(now_s)
+            for backend_state in self.broker.backend_states()
         )
+        return {
+            'servers_leaving': healths[BackendHealth.LEAVING],
+            'servers_paused': healths[BackendHealth.PAUSED],
+            **{
+                f'server_statements_{kind}': count
+                for kind, count in self._statements.counts.items()
+            },
+        }
 
     def record_probe_failure(self, backend_id: str) -> None:
         """Record a probe that got no valid response."""
@@ -198,7 +217,7 @@
                 grant.request.permit_request_id
             )
             if address is not None:
-                self._rate_limits.send_backend(*address, grant.backend)
+                self._statements.send_backend(*address, grant.backend)
             self._reply(grant.request.permit_request_id, message)
         elif self.local_listener is not None:
             self.local_listener.permit_received(message)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -118,6 +118,7 @@
         self._permit_acquirer = PermitAcquirer(host, context, self.trail, self)
         self._attempts: list[Attempt] = []
         self._fallback_response: BufferedResponse | None = None
+        self._retry_after_s = float(0)
         self._is_streaming = False
         self._is_finished = False
         self._timer = RestartableTimer(host.reactor)
@@ -230,6 +231,9 @@
         """
         self._permit_acquirer.reply_received()
         self.trail.add('denied', end=end.value, retry_after_s=retry_after_s)
+        if retry_after_s:
+            earliest_s = self._retry_after_s or retry_after_s
+            self._retry_after_s = min(earliest_s, retry_after_s)
         if self._attempts:
             return
         is_final = end in {DenialReason.RETRY_BUDGET, DenialReason.DEADLINE}
@@ -237,7 +241,7 @@
         if is_final or not self._permit_acquirer.request_next(
             is_retry=is_retry
         ):
-            self._fail(retry_after_s)
+            self._fail(self._retry_after_s)
 
     def write_request(
         self,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_codec.py
@@ -32,7 +32,10 @@
     ``backend_id`` is ``None`` if the response does not name its server.
     ``requests_per_s`` is the rate that the server accepts from all VMs
     together, ``None`` if it states none; ``has_rate_limit`` is set, too, if what
-    it states is invalid.
+    it states is invalid. ``is_leaving`` is set if the server states that it
+    leaves. ``pause_s`` is the time in seconds for which it wants no requests from
+    this VM, ``None`` if it states none; ``has_invalid_pause`` is set if what it
+    states is invalid.
     """
 
     status: int
@@ -42,6 +45,9 @@
     backend_id: str | None
     requests_per_s: float | None = None
     has_rate_limit: bool = False
+    is_leaving: bool = False
+    pause_s: float | None = None
+    has_invalid_pause: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
@@ -16,8 +16,8 @@
 from turmericpost.gateway.leadership import Leadership
 from turmericpost.gateway.permit_client import PermitClient
 from turmericpost.gateway.probes import BackendProber
-from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
 from turmericpost.gateway.settings import GatewaySettings
+from turmericpost.gateway.statement_exchange import StatementExchange
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.grants.broker import Broker
@@ -41,7 +41,7 @@
     backend_status_log: BackendStatusLog
     connections: ServerConnections
     prober: BackendProber
-    rate_limits: RateLimitExchange
+    statements: StatementExchange
 
 
 @dataclass(frozen=True)
@@ -69,8 +69,11 @@
     )
     broker = _new_broker(dependencies)
     broker.leads = Leadership(dependencies.clock, dependencies.peers.view).leads
-    rate_limits = RateLimitExchange(
-        dependencies.clock, dependencies.peers, broker.rate_limits
+    statements = StatementExchange(
+        dependencies.clock,
+        dependencies.peers,
+        broker.rate_limits,
+        broker.availability,
     )
     broker_service = BrokerService(
         dependencies.reactor,
@@ -78,14 +81,14 @@
         broker,
         dependencies.peers,
         prober,
-        rate_limits,
+        statements,
     )
     permit_client = PermitClient(
         dependencies.reactor,
         dependencies.clock,
         dependencies.peers,
         broker_service,
-        rate_limits,
+        statements,
     )
     attempt_dependencies = AttemptDependencies(
         connections,
@@ -93,6 +96,8 @@
         dependencies.clock,
         permit_client.report,
         permit_client.record_rate_limit,
+        permit_client.record_availability,
+        statements.may_send,
     )
     ingress = Ingress(
         dependencies.reactor,
@@ -109,7 +114,7 @@
         BackendStatusLog(dependencies.clock, broker, dependencies.peers),
         connections,
         prober,
-        rate_limits,
+        statements,
     )
 
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -335,7 +335,7 @@
         self._pushed_versions = self.state.versions
 
     def _message_received(self, host: str, message: Message) -> None:
-        self.call_path.rate_limits.message_received(message)
+        self.call_path.statements.message_received(message)
         self.call_path.broker_service.message_received(host, message)
         self.call_path.permit_client.message_received(message)
 
@@ -420,6 +420,7 @@
             'vms_heard': len(self.view.live_members(self.clock.monotonic_s())),
             'server_report_age_s': self._oldest_report_age_s(),
             'servers_with_rate_limit': self._count_rate_limits(),
+            **self.call_path.broker_service.closed_counts(),
         }
 
     def _count_rate_limits(self) -> int:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
@@ -23,7 +23,8 @@
     issuing_vm,
     read_permit_request,
 )
-from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
+from turmericpost.gateway.call_codec import ResponseInfo
+from turmericpost.gateway.statement_exchange import StatementExchange
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.limits import UNLISTED_GRACE_S
@@ -144,13 +145,13 @@
         clock: Clock,
         peers: PeerProtocol,
         broker_service: BrokerService,
-        rate_limits: RateLimitExchange,
+        statements: StatementExchange,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._peers = peers
         self._broker_service = broker_service
-        self._rate_limits = rate_limits
+        self._statements = statements
         self._own_vm = peers.view.own
         self._pending: dict[str, _PendingRequest] = {}
         self._held_permits: dict[str, Permit] = {}
@@ -196,12 +197,13 @@
         self, permit: Permit, statement: RateLimitStatement
     ) -> None:
         """Record what a permit's backend server states, and tell the broker."""
-        self._rate_limits.record(permit.backend, statement)
-        vm = self._find_vm(permit.broker)
-        if vm is not None and vm.name != self._own_vm.name:
-            self._rate_limits.send_backend(
-                vm.host, vm.peer_port, permit.backend
-            )
+        self._statements.record_limit(permit.backend, statement)
+        self._send_statements(permit)
+
+    def record_availability(self, permit: Permit, info: ResponseInfo) -> None:
+        """Record whether a permit's server takes requests; tell the broker."""
+        if self._statements.record_availability(permit.backend, info):
+            self._send_statements(permit)
 
     def held_permits(self) -> Mapping[str, Mapping[str, str]]:
         """Return the permits held by this VM, by the VM to report them to.
@@ -254,6 +256,11 @@
         if pending is not None:
             pending.listener.permit_denied(message.end, message.retry_after_s)
 
+    def _send_statements(self, permit: Permit) -> None:
+        vm = self._find_vm(permit.broker)
+        if vm is not None and vm.name != self._own_vm.name:
+            self._statements.send_backend(vm.host, vm.peer_port, permit.backend)
+
     def _may_use(self, permit: Permit, pending: _PendingRequest) -> bool:
         """Return whether a permit is the reply that the request waits for.
 
@@ -293,7 +300,7 @@
         else:
             criteria = pending.criteria
             pool = (criteria.service, criteria.failure_domain)
-            self._rate_limits.send_pool(broker.host, broker.peer_port, pool)
+            self._statements.send_pool(broker.host, broker.peer_port, pool)
             self._peers.send(broker, message)
 
     def _schedule_check(self) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/probes.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/probes.py
@@ -33,10 +33,8 @@
         ``reported_load`` is ``None`` if the response contains no load report.
         """
 
-    def record_rate_limit(
-        self, backend: Backend, requests_per_s: float
-    ) -> None:
-        """Handle the rate limit that a backend server states."""
+    def record_statements(self, backend: Backend, info: ResponseInfo) -> None:
+        """Handle what a backend server states in its response."""
 
     def record_probe_failure(self, backend_id: str) -> None:
         """Handle a probe that got no response of the probed backend server."""
@@ -88,8 +86,9 @@
         if self.listener is None:
             return
         if _is_from_backend(info, backend):
-            if info.requests_per_s is not None:
-                self.listener.record_rate_limit(backend, info.requests_per_s)
+            self.listener.record_statements(backend, info)
+            if info.is_leaving:
+                self._connections.close_idle(backend.backend_id)
             is_healthy = info.status == _HEALTHY_STATUS
             self.listener.record_probe(
                 backend.backend_id,
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -131,6 +131,16 @@
         Level.INFO,
         'the use that this broker allowed of a server with a rate limit',
     )
+    BACKEND_CLOSED = (
+        5109,
+        Level.INFO,
+        'a backend server states that it leaves or wants a pause',
+    )
+    BACKEND_PAUSE_INVALID = (
+        5110,
+        Level.WARNING,
+        'a backend server states a pause that is no number of seconds',
+    )
     UPDATE_FAILED = (
         5103,
         Level.WARNING,
--- a/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
@@ -31,12 +31,15 @@
 _LOAD = b'x-server-load'
 _WARMUP_LEFT = b'x-warmup-ms'
 _RATE_LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 _REPLACED_FIELDS = frozenset((EXPECT, _DEADLINE, _EXPECTED_BACKEND_ID))
 _CHUNKED = (TRANSFER_ENCODING, b'chunked')
 
 _READY_PATH = b'/-/ready'
 _RESOLVE_PATH = '/-/resolve'
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _MS_PER_S = 1000
 _USUAL_SLOWNESS_PERCENT = 100.0
 _MAX_SLOWNESS_PERCENT = 100_000
@@ -93,6 +96,10 @@
     def read_response(self, head: ResponseHead) -> ResponseInfo:
         """Decode the head of a backend server's response."""
         is_misdirected = head.status == _MISDIRECTED
+        pause_field = None
+        if head.status == _UNAVAILABLE:
+            pause_field = head.first(_RETRY_AFTER)
+        pause_s = _parse_amount(pause_field)
         response_id = head.first(_BACKEND_ID)
         return ResponseInfo(
             status=head.status,
@@ -104,6 +111,9 @@
             else _decode_text(response_id),
             requests_per_s=_decode_rate_limit(head),
             has_rate_limit=head.first(_RATE_LIMIT) is not None,
+            is_leaving=head.first(_LEAVING) == b'1',
+            pause_s=pause_s,
+            has_invalid_pause=pause_field is not None and pause_s is None,
         )
 
     def is_stale_response(self, head: ResponseHead, call_id: str) -> bool:
--- a/packages/turmericpost-entry/tests/gateway/call_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/call_harness.py
@@ -9,6 +9,7 @@
 from tests.harness import FakeClock, FakeTransport
 from turmericpost.gateway.attempt import AttemptDependencies
 from turmericpost.gateway.call import GatewayCall
+from turmericpost.gateway.call_codec import ResponseInfo
 from turmericpost.gateway.permit_acquirer import CallContext
 from turmericpost.gateway.permit_client import Permit, PermitCriteria
 from turmericpost.gateway.refusals import Refusal
@@ -45,6 +46,7 @@
     def __init__(self) -> None:
         self.opened: list[BackendConnection] = []
         self.released: list[BackendConnection] = []
+        self.closed_idle: list[str] = []
         self.refuses_connections = False
         self.delays_connections = False
         self._pending_listeners: list[Any] = []
@@ -72,8 +74,8 @@
         if released.is_usable:
             self.released.append(released)
 
-    def close_idle(self, _backend_id: str) -> None:
-        """Do nothing: released connections are not kept by server."""
+    def close_idle(self, backend_id: str) -> None:
+        self.closed_idle.append(backend_id)
 
 
 class CallHarness:
@@ -94,6 +96,8 @@
         self.connections = FakeConnections()
         self.reports: list[tuple[str, AttemptOutcome]] = []
         self.rate_limits: list[tuple[str, RateLimitStatement]] = []
+        self.closed_backends: set[str] = set()
+        self.pauses_s: list[float] = []
         self.permit_requests: list[PermitCriteria] = []
         self.cancelled_request_ids: list[str] = []
         self.statuses: list[int] = []
@@ -105,6 +109,10 @@
             self.clock,
             self._record_report,
             self._record_rate_limit,
+            self._record_availability,
+            lambda backend_server: (
+                backend_server.backend_id not in self.closed_backends
+            ),
         )
         self.calls: list[GatewayCall] = []
         self._domains = domains
@@ -217,5 +225,11 @@
     ) -> None:
         self.rate_limits.append((permit.backend.backend_id, statement))
 
+    def _record_availability(self, permit: Permit, info: ResponseInfo) -> None:
+        if info.pause_s is not None:
+            self.pauses_s.append(info.pause_s)
+        if info.is_leaving or info.pause_s is not None:
+            self.closed_backends.add(permit.backend.backend_id)
+
     def _record_report(self, permit: Permit, report: AttemptReport) -> None:
         self.reports.append((permit.backend.backend_id, report.outcome))
--- a/packages/turmericpost-entry/tests/gateway/test_call.py
+++ b/packages/turmericpost-entry/tests/gateway/test_call.py
@@ -255,6 +255,84 @@
 
 
 class DeadlineTest(unittest.TestCase):
+    # Guards against a call that is sent to a server that has stated that it
+    # leaves, with a permit granted before or after that.
+    def test_permit_for_a_server_that_is_closed_is_not_used(self) -> None:
+        harness = CallHarness()
+        harness.closed_backends.add('b1')
+        harness.send_request()
+        harness.permit(1)
+        self.assertEqual(harness.connections.opened, [])
+        self.assertEqual(harness.reports, [('b1', AttemptOutcome.UNUSED)])
+        self.assertEqual(harness.permit_requests[1].excluded, {'b1'})
+        self.assertFalse(harness.permit_requests[1].is_retry)
+        harness.permit(2)
+        harness.send_response(0, OK)
+        self.assertEqual(harness.statuses, [200])
+
+    def test_server_that_closes_while_connecting_gets_no_request(self) -> None:
+        harness = CallHarness(is_idempotent=False)
+        harness.connections.delays_connections = True
+        harness.send_request()
+        harness.permit(1)
+        harness.closed_backends.add('b1')
+        harness.connections.open_pending()
+        self.assertEqual(harness.sent_bytes(0), b'')
+        self.assertEqual(harness.reports, [('b1', AttemptOutcome.UNUSED)])
+        self.assertEqual(len(harness.permit_requests), 2)
+
+    # Guards against a request that meets a pause and gets no service although
+    # another server stands by.
+    def test_rejected_call_is_sent_to_another_server(self) -> None:
+        harness = CallHarness(is_idempotent=False)
+        harness.send_request()
+        harness.permit(1)
+        harness.send_response(0, with_field(SHED, b'Retry-After: 2.5'))
+        self.assertEqual(harness.pauses_s, [2.5])
+        self.assertEqual(harness.permit_requests[1].excluded, {'b1'})
+        harness.permit(2)
+        harness.send_response(1, OK)
+        self.assertEqual(harness.statuses, [200])
+
+    def test_idle_connections_to_a_leaving_server_are_closed(self) -> None:
+        harness = CallHarness()
+        harness.send_request()
+        harness.permit(1)
+        harness.send_response(0, with_field(OK, b'Server-Leaving: 1'))
+        self.assertEqual(harness.statuses, [200])
+        self.assertEqual(harness.connections.closed_idle, ['b1'])
+
+    # Guards against statements read from responses that are not the server's,
+    # or that never became complete.
+    def test_foreign_cut_and_late_responses_state_nothing(self) -> None:
+        leaving = b'Server-Leaving: 1'
+        for response in (
+            with_field(WRONG_BACKEND, leaving),
+            with_field(OK, leaving)[:-1],
+            with_field(OK, leaving).replace(b'id1', b'id0'),
+        ):
+            with self.subTest(response):
+                harness = CallHarness()
+                harness.send_request()
+                harness.permit(1)
+                harness.send_response(0, response)
+                lose_connection(harness, 0)
+                self.assertEqual(harness.closed_backends, set())
+
+    def test_refusal_states_the_earliest_time_to_retry(self) -> None:
+        harness = CallHarness(domains=('nasr', 'smouha'))
+        harness.send_request()
+        while not harness.refused_calls:
+            retry_after_s = 3 - len(harness.permit_requests) / 2
+            harness.calls[-1].permit_denied(
+                DenialReason.NO_BACKEND, retry_after_s
+            )
+        (refusal,) = harness.refused_calls
+        self.assertEqual(refusal.status, 503)
+        self.assertEqual(
+            refusal.retry_after_s, 3 - len(harness.permit_requests) / 2
+        )
+
     def test_deadline_without_a_permit_is_refused_as_not_run(self) -> None:
         harness = CallHarness()
         harness.send_request()
--- a/packages/turmericpost-entry/tests/gateway/test_permit_client.py
+++ b/packages/turmericpost-entry/tests/gateway/test_permit_client.py
@@ -27,7 +27,8 @@
     PermitClient,
     PermitCriteria,
 )
-from turmericpost.gateway.rate_limit_exchange import RateLimitExchange
+from turmericpost.gateway.statement_exchange import StatementExchange
+from turmericpost_core.grants.availability import AvailabilityTable
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
@@ -99,15 +100,15 @@
         self.view = view
         self.peers = FakePeers(view)
         self.broker_service = FakeBrokerService()
-        self.rate_limits = RateLimitExchange(
-            self.clock, self.peers, RateLimitTable()
+        self.statements = StatementExchange(
+            self.clock, self.peers, RateLimitTable(), AvailabilityTable()
         )
         self.client = PermitClient(
             self.reactor,
             self.clock,
             self.peers,
             self.broker_service,
-            self.rate_limits,
+            self.statements,
         )
         self.listener = FakeListener()
         now_s = self.clock.monotonic_s()
@@ -234,7 +235,9 @@
     def test_broker_is_told_when_a_limit_has_ended(self) -> None:
         now_s = self.clock.monotonic_s()
         permit = self._held_permit()
-        self.rate_limits.record(permit.backend, RateLimitStatement(2, now_s))
+        self.statements.record_limit(
+            permit.backend, RateLimitStatement(2, now_s)
+        )
         self.reactor.advance(1)
         self.peers.sent.clear()
         self.client.record_rate_limit(
--- a/packages/turmericpost-entry/tests/platform/test_decoding.py
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -11,6 +11,7 @@
 
 from turmericpost.fleet.message_codec import decode_message, encode_message
 from turmericpost.fleet.messages import (
+    AvailabilityMessage,
     CancelMessage,
     DenialMessage,
     Digest,
@@ -21,6 +22,7 @@
     PermitRequestMessage,
     QueuedMessage,
     RateLimitsMessage,
+    StatedAvailability,
     StatedRateLimit,
     StateVersion,
 )
@@ -280,6 +282,38 @@
                 self.assertEqual(info.requests_per_s, expected)
                 self.assertTrue(info.has_rate_limit)
 
+    def test_pause_is_a_number_of_seconds_in_a_rejection(self) -> None:
+        for text, expected in (
+            (b'3', 3),
+            (b'0.25', 0.25),
+            (b'0', 0),
+            (b'99999999999', 99999999999),
+            (b'-1', None),
+            (b'nan', None),
+            (b'1e400', None),
+            (b'soon', None),
+            (b'', None),
+            (b'Wed, 21 Oct 2026 07:28:00 GMT', None),
+        ):
+            with self.subTest(text):
+                fields = [(b'retry-after', text)]
+                info = self.call_codec.read_response(
+                    ResponseHead(503, fields, True)
+                )
+                self.assertEqual(info.pause_s, expected)
+                self.assertEqual(info.has_invalid_pause, expected is None)
+                served = self.call_codec.read_response(
+                    ResponseHead(200, fields, True)
+                )
+                self.assertIsNone(served.pause_s)
+                self.assertFalse(served.has_invalid_pause)
+
+    def test_response_states_that_its_server_leaves(self) -> None:
+        for text, expected in ((b'1', True), (b'0', False), (b'', False)):
+            fields = (b'server-leaving', text)
+            self.assertIs(self._response_info(fields).is_leaving, expected)
+        self.assertFalse(self._response_info().is_leaving)
+
     def test_response_states_whether_the_call_was_not_run(self) -> None:
         plain = self.call_codec.read_response(ResponseHead(503, [], True))
         self.assertFalse(plain.not_run)
@@ -293,6 +327,27 @@
 
 
 class DatagramTest(unittest.TestCase):
+    def test_availability_is_unchanged_by_encoding_and_decoding(self) -> None:
+        statements = (
+            StatedAvailability('b1', 1, True, 0, 3),
+            StatedAvailability('b2', 0, False, 2.5, 0.1),
+        )
+        message = AvailabilityMessage('press', 'nasr', statements)
+        decoded = decode_message(encode_message(message))
+        self.assertEqual(decoded.unwrap(), message)
+
+    def test_invalid_availability_makes_the_message_malformed(self) -> None:
+        for stated in (
+            ('b1', 1, False, float('nan'), 0),
+            ('b1', 1, False, -1, 0),
+            ('b1', 1, False, 1, float('inf')),
+            ('b1', 1, 'no', 1, 0),
+            ('b1', 1, True, 0),
+        ):
+            with self.subTest(stated):
+                wire = msgpack.packb([11, ['press', 'nasr', [stated]]])
+                self.assertTrue(decode_message(wire).is_err())
+
     def test_rate_limits_are_unchanged_by_encoding_and_decoding(self) -> None:
         for requests_per_s in (2.5, 0, None):
             message = RateLimitsMessage(
