Soak servers that leave and ask for pauses, and play both with processes

The soak lets one server leave and three ask for pauses at drawn times, and checks which VM was told before it sent a request.

--- a/packages/turmericpost-entry/tests/soak/soak.py
+++ b/packages/turmericpost-entry/tests/soak/soak.py
@@ -31,6 +31,7 @@
     check_servers,
 )
 from tests.soak.foreign_records import foreign_record
+from tests.soak.statement_checks import check_statements
 from tests.soak.vm_process import CHECK_INTERVAL_S, VmProcess, VmSettings
 from turmericpost.http1.serial_http_client import HttpRequest
 
@@ -46,6 +47,7 @@
 _CONFIG_S = 2.0
 _PROBE_PAUSE_S = 0.3
 _FOREIGN_RECORDS = 6
+_PAUSES_S = 2.5
 _ROUTES = (route('/a/'), route('/order/', RouteType='non_idempotent'))
 _PASSING_ROUTES = tuple(route(f'/passing{number}/') for number in range(4))
 _ADDED_ROUTE = route('/added/')
@@ -115,9 +117,7 @@
         await self._fleet.pause(_START_S)
         for caller in self.callers:
             caller.connect()
-        for _ in range(_FOREIGN_RECORDS):
-            at_s = self._content_random.uniform(0, CHAOS_S)
-            self._reactor.callLater(at_s, self._add_foreign_record)
+        self._schedule_contents()
         end_s = self._reactor.seconds() + CHAOS_S
         while self._reactor.seconds() < end_s:
             action = self._random.choice(_ACTIONS)
@@ -133,6 +133,16 @@
         self._end_s = self._reactor.seconds()
         await self._fleet.pause(_DRAIN_S)
 
+    def _schedule_contents(self) -> None:
+        """Schedule odd registrations, and what servers state."""
+        actions = (
+            *_STATEMENTS,
+            *((Soak._add_foreign_record,) * _FOREIGN_RECORDS),
+        )
+        for action in actions:
+            at_s = self._content_random.uniform(0, CHAOS_S)
+            self._reactor.callLater(at_s, action, self)
+
     async def _stay_calm(self) -> None:
         """Add a route, and call it at all VMs from the bound on."""
         end_s = self._reactor.seconds() + CALM_S
@@ -205,6 +215,19 @@
             foreign_record(self._content_random),
         )
 
+    def _state_pause(self) -> None:
+        """Let a server reject everything and ask for pauses for a while."""
+        names = self._remaining_backends()
+        faults = self._fleet.backends[self._content_random.choice(names)].faults
+        faults.pause_s = self._content_random.choice((0.7, 1.5, 3.0))
+        self._reactor.callLater(_PAUSES_S, setattr, faults, 'pause_s', None)
+
+    def _state_leaving(self) -> None:
+        """Let a server leave that is still registered as ready."""
+        names = self._remaining_backends()
+        name = self._content_random.choice(names)
+        self._fleet.backends[name].faults.states_leaving = True
+
     async def _call_added_route(self) -> None:
         """Call the last route that was added at each VM that is settled."""
         headers = (
@@ -312,6 +335,11 @@
         runs.pop('added', None)
         self.violations.extend(f'{stray} was never sent' for stray in runs)
         self.violations.extend(check_added_route(self._added_statuses))
+        requests = {one.request_id: one for one in self.requests}
+        for backend in self._fleet.backends.values():
+            self.violations.extend(
+                check_statements(backend.statements, backend.arrivals, requests)
+            )
         self._check_end()
 
     def _runs_by_request(self) -> dict[str, list[Run]]:
@@ -353,6 +381,14 @@
 )
 
 
+_STATEMENTS: tuple[Callable[[Soak], None], ...] = (
+    Soak._state_leaving,
+    Soak._state_pause,
+    Soak._state_pause,
+    Soak._state_pause,
+)
+
+
 def _own_network() -> str:
     """Return the first parts of loopback addresses of this process."""
     high, low = divmod(os.getpid() % 50_000, 250)
--- a/packages/turmericpost-entry/tests/soak/vm_process.py
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -74,7 +74,7 @@
         self.settings = settings
         self.killed_s: list[float] = []
         self.paused_s: list[float] = []
-        self.started_s = float(0)
+        self.starts_s: list[float] = []
         self.stop_begun_s: float | None = None
         self.is_paused = False
         self.faults: list[str] = []
@@ -110,11 +110,18 @@
         """Return whether the process has run without a fault since a time."""
         if not self.is_running or self.is_paused or self.stop_begun_s:
             return False
-        return max((self.started_s, *self.paused_s)) < since_s
+        return max((*self.starts_s, *self.paused_s)) < since_s
+
+    def was_disturbed(self, since_s: float, until_s: float) -> bool:
+        """Return whether the process was started or paused in some time."""
+        events_s = (*self.starts_s, *self.killed_s, *self.paused_s)
+        return self.is_paused or any(
+            since_s <= event_s <= until_s for event_s in events_s
+        )
 
     def start(self) -> None:
         """Start the process; its log is appended to that of earlier ones."""
-        self.started_s = self._reactor.seconds()
+        self.starts_s.append(self._reactor.seconds())
         self.stop_begun_s = None
         self._expects_exit = False
         environment = {
