Leave a server that rejects some attempts its usual share

Cause: the back-off that added doubled from the first rejection on and ranked the server last.

Change: the first four rejections in a row count as before; from the fifth on a server is ranked last, gets one attempt at a time and backs off.

Conclusion: only a server that rejects everything is kept away.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_choice.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_choice.py
@@ -99,5 +99,5 @@
 ) -> tuple[bool, float, float]:
     slot_share = server.in_use(now_s) / server.backend.slots
     is_failing = server.failure_share > _MAX_FAILURE_SHARE
-    is_unreliable = is_failing or not server.is_healthy
+    is_unreliable = is_failing or server.rejects_all or not server.is_healthy
     return is_unreliable, server.slowdown_factor(now_s), slot_share
--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -29,7 +29,8 @@
 _PERCENT = 100.0
 _MAX_DOUBLINGS = 5
 _MAX_REJECTION_DOUBLINGS = 6
-_MAX_USUAL_REJECTIONS = 2
+_MAX_USUAL_REJECTIONS = 4
+"""Rejections in a row that a server with room now and then still has."""
 
 
 class BackendHealth(Enum):
@@ -104,6 +105,11 @@
         """Return whether the server leaves or has asked for a pause."""
         return now_s < self.closed_until_s
 
+    @property
+    def rejects_all(self) -> bool:
+        """Whether many attempts in a row were rejected."""
+        return self._rejections > _MAX_USUAL_REJECTIONS
+
     def close_until(self, availability: Availability | None) -> None:
         """Apply what the server states, ``None`` if it takes requests."""
         if availability is None:
@@ -259,7 +265,6 @@
             self._back_off(now_s)
         elif outcome is AttemptOutcome.SHED:
             self.reported_s = _NEVER_S
-            self._update_failure_share(float(1))
             self._back_off_after_rejection(now_s)
         elif outcome is AttemptOutcome.GONE:
             self._backoff_until_s = now_s + MAX_BACKOFF_S
@@ -279,12 +284,12 @@
     @property
     def _needs_success(self) -> bool:
         """Whether only one attempt at a time is allowed until one succeeds."""
-        rejects_all = self._rejections > _MAX_USUAL_REJECTIONS
-        return bool(self._failures or rejects_all or self._is_on_trial)
+        return bool(self._failures or self.rejects_all or self._is_on_trial)
 
     def _back_off_after_rejection(self, now_s: float) -> None:
-        """Back off for longer with each rejection in a row."""
-        doublings = min(self._rejections, _MAX_REJECTION_DOUBLINGS)
+        """Back off, and for longer if all attempts in a row are rejected."""
+        unusual = max(self._rejections - _MAX_USUAL_REJECTIONS, 0)
+        doublings = min(unusual, _MAX_REJECTION_DOUBLINGS)
         pause_s = min(MIN_PROBE_INTERVAL_S * 2**doublings, MAX_BACKOFF_S)
         self._backoff_until_s = now_s + pause_s
         self._rejections += 1
