Drop missing servers only with a read after the grace time

Cause: the first VM that reads after an outage keeps removals for a while. If another VM reads on, the new registrations change nothing there, so it sends nothing, and the first one dropped live servers at the end of the grace time. All VMs took that over.

Callers saw: no service of live servers after an outage of 5 s, for good.

Change: a VM with the same registry that has read past a removal makes it void; a removal takes effect with a read that began after the grace time; until then the server is withheld by this VM alone.

Conclusion: what drops a server is a read that did not find it.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -48,13 +48,15 @@
 
     VMs compare ``version`` to find out whose registry is newer. It consists of
     the offset after the last record that changed anything and the number of
-    times since then that missing registrations were dropped.
+    times since then that missing registrations were dropped. ``withheld`` are
+    ids of servers whose removals are due, but not confirmed by a read since.
     """
 
     def __init__(self) -> None:
         self.backends: Mapping[str, Backend] = {}
         self.version: Version = (0, 0)
         self.next_offset = 0
+        self.withheld: frozenset[str] = frozenset()
         self._grace_until_s = float(0)
         self._removals: dict[str, _Removal] = {}
         self._change_log = ChangeLog()
@@ -157,22 +159,45 @@
             self.next_offset = self.resume_offset
             self._removals.clear()
             self._change_log.reset(self.version)
-        self.next_offset = max(self.next_offset, update.next_offset)
         for change in () if is_full else update.changes:
             self._removals.pop(change.backend_id, None)
             self._change_log.record(change)
+        self.read_by_peer(update.next_offset)
         return UpdateOutcome.APPLIED
 
-    def expire(self, now_s: float) -> bool:
-        """Drop registrations that are still missing after the grace time.
+    def read_by_peer(self, offset: int) -> None:
+        """Skip the records that a VM with the same registry has read.
 
-        Returns whether any was dropped.
+        That VM has also read the removals before ``offset``. It still has these
+        servers, so they have registered again.
         """
-        expired_ids = [
-            backend_id
+        self.next_offset = max(self.next_offset, offset)
+        self._removals = {
+            backend_id: removal
             for backend_id, removal in self._removals.items()
-            if now_s >= removal.due_s
-        ]
+            if removal.offset >= offset
+        }
+
+    def withhold(self, now_s: float) -> bool:
+        """Update ``withheld``; return whether it has changed.
+
+        Only a read after the grace time tells whether a server is registered
+        again. Without one, this VM does not use the server, and leaves the
+        registry as it is.
+        """
+        withheld = frozenset(self._due_ids(now_s))
+        if withheld == self.withheld:
+            return False
+        self.withheld = withheld
+        return True
+
+    def expire(self, read_s: float) -> bool:
+        """Drop registrations that were missing after the grace time.
+
+        ``read_s`` is when the last read of the registry began. Returns whether
+        any was dropped.
+        """
+        expired_ids = self._due_ids(read_s)
         if expired_ids:
             offset, expired_count = self.version
             self.version = (offset, expired_count + 1)
@@ -184,6 +209,13 @@
             )
         return bool(expired_ids)
 
+    def _due_ids(self, now_s: float) -> list[str]:
+        return [
+            backend_id
+            for backend_id, removal in self._removals.items()
+            if now_s >= removal.due_s
+        ]
+
     def _apply(self, record: Registration, now_s: float) -> bool:
         backend = record.backend
         if backend is None:
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -63,7 +63,7 @@
         self.operator_offset = 0
         self.directory = BackendDirectory()
         self._configs = ConfigHistory()
-        self._usable = _UsableBackends({}, frozenset())
+        self._usable = _UsableBackends({}, frozenset(), frozenset())
 
     @property
     def config(self) -> OperatorConfig | None:
@@ -142,7 +142,7 @@
     def usable_backends(self) -> tuple[Backend, ...]:
         """Return the backend servers that accept new calls.
 
-        Draining servers and evacuated failure domains are excluded.
+        Draining and withheld servers and evacuated failure domains are excluded.
         """
         return self._current_usable().backends
 
@@ -152,12 +152,16 @@
 
     def _current_usable(self) -> _UsableBackends:
         """Return the usable servers, computed anew only after a change."""
-        registered = self.directory.backends
-        usable = self._usable
-        if usable.registered is not registered:
-            self._usable = _UsableBackends(registered, self.evacuated)
-        elif usable.evacuated is not self.evacuated:
-            self._usable = _UsableBackends(registered, self.evacuated)
+        basis = (
+            self.directory.backends,
+            self.evacuated,
+            self.directory.withheld,
+        )
+        if any(
+            used is not current
+            for used, current in zip(self._usable.basis, basis, strict=True)
+        ):
+            self._usable = _UsableBackends(*basis)
         return self._usable
 
     def _apply_operator_update(self, update: FleetUpdate) -> bool:
@@ -200,14 +204,15 @@
         self,
         registered: Mapping[str, Backend],
         evacuated: frozenset[str],
+        withheld: frozenset[str],
     ) -> None:
-        self.registered = registered
-        self.evacuated = evacuated
+        self.basis = (registered, evacuated, withheld)
         self.backends = tuple(
             backend
             for backend in registered.values()
             if not backend.is_draining
             and backend.failure_domain not in evacuated
+            and backend.backend_id not in withheld
         )
         self.slots: defaultdict[str, Counter[str]] = defaultdict(Counter)
         for backend in self.backends:
--- a/packages/turmericpost-core/tests/fleet/test_directory.py
+++ b/packages/turmericpost-core/tests/fleet/test_directory.py
@@ -74,6 +74,48 @@
         self.assertFalse(self.directory.expire(10 + REREGISTRATION_GRACE_S))
         self.assertIn('b0', self.directory.backends)
 
+    # Guards against live servers that all VMs drop for good after an outage of
+    # the store: the VM that read the removals does not read on.
+    def test_removal_is_void_once_another_vm_has_read_past_it(self) -> None:
+        reader = BackendDirectory()
+        reader.apply_update(self.directory.update_since(None))
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records([removed(2, 0), removed(3, 1)], 10)
+        reader.start_reregistration_grace(10)
+        for record in (
+            removed(2, 0),
+            removed(3, 1),
+            registered(4, 0),
+            registered(5, 1),
+        ):
+            reader.apply_records([record], 10)
+            self.directory.read_by_peer(reader.resume_offset)
+        late_s = 10 + 2 * REREGISTRATION_GRACE_S
+        self.assertFalse(self.directory.expire(late_s))
+        self.assertFalse(self.directory.withhold(late_s))
+        self.assertEqual(set(self.directory.backends), {'b0', 'b1'})
+
+    def test_removal_stays_while_it_is_pending_at_the_other_vm(self) -> None:
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records([removed(2, 0)], 10)
+        self.directory.read_by_peer(2)
+        self.assertTrue(self.directory.expire(10 + REREGISTRATION_GRACE_S))
+
+    # Guards against a VM that drops servers although it has read nothing since
+    # they may have registered again, and one that uses them without end.
+    def test_missing_server_is_withheld_until_a_read_confirms_it(self) -> None:
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records([removed(2, 0)], 10)
+        due_s = 10 + REREGISTRATION_GRACE_S
+        self.assertFalse(self.directory.expire(due_s - 0.1))
+        self.assertTrue(self.directory.withhold(due_s))
+        self.assertEqual(self.directory.withheld, {'b0'})
+        self.assertIn('b0', self.directory.backends)
+        self.directory.apply_records([registered(3, 0)], due_s)
+        self.assertTrue(self.directory.withhold(due_s))
+        self.assertFalse(self.directory.expire(due_s))
+        self.assertEqual(self.directory.withheld, frozenset())
+
     def test_registration_missing_after_the_grace_time_is_dropped(self) -> None:
         self.directory.start_reregistration_grace(10)
         self.directory.apply_records([removed(2, 0)], 10)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -172,10 +172,7 @@
         """
         directory = self.state.directory
         if state_version.backends == directory.version:
-            directory.next_offset = max(
-                directory.next_offset,
-                state_version.next_offset,
-            )
+            directory.read_by_peer(state_version.next_offset)
 
     def _fetch(self, vm: Vm, state_version: StateVersion) -> None:
         self._fetched_versions[vm.name] = state_version
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -93,10 +93,7 @@
     async def _follow_backends(self) -> None:
         while self._is_running:
             if self._update_reader_role():
-                begun_s = self._clock.monotonic_s()
-                was_read = await self._read_backends()
-                if was_read:
-                    self.last_read_s = begun_s
+                await self._read_backends()
                 pause_s = self._schedule.period_s
                 if self._failures:
                     pause_s = retry_pause_s(self._failures, self._schedule)
@@ -122,7 +119,8 @@
                 self._store.stop_watching()
         return is_reader
 
-    async def _read_backends(self) -> bool:
+    async def _read_backends(self) -> None:
+        begun_s = self._clock.monotonic_s()
         directory = self._state.directory
         is_listing = self._needs_backend_listing or not directory.next_offset
         if is_listing:
@@ -131,10 +129,10 @@
             read_result = await self._store.read_backends(directory.next_offset)
         if read_result.is_err():
             self._backend_read_failed(read_result.unwrap_err())
-            return False
+            return
         self._backend_read_succeeded()
+        self.last_read_s = begun_s
         self._apply_backends(read_result.unwrap(), is_listing=is_listing)
-        return True
 
     def _apply_backends(
         self, read_result: Registrations, *, is_listing: bool
@@ -153,6 +151,7 @@
                 directory.next_offset,
                 read_result.next_offset,
             )
+        changed = directory.expire(self.last_read_s) or changed
         if changed:
             self._callbacks.changed('registry')
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -285,7 +285,7 @@
         """Apply the changed state to all components, and push it to peers.
 
         ``source`` is the name of the VM that sent the change, else
-        ``registry``, ``operator`` or ``expiry``.
+        ``registry``, ``operator`` or ``withheld``.
         """
         now_s = self.clock.monotonic_s()
         state = self.state
@@ -358,8 +358,8 @@
         self.call_path.broker_service.evict_expired()
         self.call_path.backend_status_log.log_changes()
         self.ingress.log_dropped_lines()
-        if self.state.directory.expire(now_s):
-            self._state_changed('expiry')
+        if self.state.directory.withhold(now_s):
+            self._state_changed('withheld')
 
     def _update_visible_share(self, now_s: float) -> None:
         age_s = now_s - self._started_s
