Refuse upgrades and connection options that change how a request is framed

Cause: the parser reports an upgrade only after the end of the message, when the call was under way with an empty body. A connection option that names Content-Length made the proxy drop that field, and the server read the body as the next request.

Change: both are refused with 400 when the head is complete; a refused connection reads no further request.

Measured: six heads in tests.http1.test_strict, each failed before (a 200, two responses, or no end); all get one 400 now.

Conclusion: nothing is passed on whose framing could change on the way.

--- a/packages/turmericpost-entry/src/turmericpost/http1/heads.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/heads.py
@@ -16,6 +16,7 @@
 HOST = b'host'
 KEEP_ALIVE = b'keep-alive'
 TRANSFER_ENCODING = b'transfer-encoding'
+UPGRADE = b'upgrade'
 VIA = b'via'
 
 _HOP_BY_HOP = frozenset(
@@ -28,7 +29,7 @@
         b'te',
         b'trailer',
         TRANSFER_ENCODING,
-        b'upgrade',
+        UPGRADE,
     )
 )
 
@@ -104,13 +105,20 @@
 
     Fields named by ``Connection`` are hop-by-hop too (RFC 9110, 7.6.1).
     """
-    excluded = _HOP_BY_HOP | dropped
-    for name, text in headers:
-        if name == CONNECTION:
-            excluded = excluded.union(_tokens(text))
+    excluded = _HOP_BY_HOP | dropped | connection_options(headers)
     return [header for header in headers if header[0] not in excluded]
 
 
+def connection_options(headers: Headers) -> frozenset[bytes]:
+    """Return the options in all ``Connection`` fields, in lower case."""
+    return frozenset(
+        token
+        for name, text in headers
+        if name == CONNECTION
+        for token in _tokens(text)
+    )
+
+
 def render_request(method: str, target: bytes, headers: Headers) -> bytes:
     """Return the bytes of a request head."""
     start = b'%b %b HTTP/1.1\r\n' % (method.encode('ascii'), target)
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -16,7 +16,7 @@
 from turmericpost.http1.heads import Headers, RequestHead
 from turmericpost.http1.readability import is_readable
 from turmericpost.http1.settings import CallerSettings
-from turmericpost.http1.strict import is_malformed
+from turmericpost.http1.strict import asks_for_upgrade, is_malformed
 from turmericpost_core.clock import Clock
 from turmericpost_core.outcome.reasons import RefusalReason
 
@@ -121,6 +121,8 @@
         self._exchanges.append(exchange)
         if self._parser.version != _HTTP_VERSION or is_malformed(head):
             exchange.fail_body(RefusalReason.MALFORMED_REQUEST)
+        if asks_for_upgrade(head):
+            exchange.fail_body(RefusalReason.UPGRADE_UNSUPPORTED)
         if _head_size(head) > self._port.settings.max_header_bytes:
             exchange.fail_body(RefusalReason.HEADERS_TOO_LARGE)
         if head.content_length == 0:
@@ -251,6 +253,8 @@
             self._reject(RefusalReason.HEADERS_TOO_LARGE)
 
     def _reject(self, reason: RefusalReason) -> None:
+        if self._closing:
+            return
         if self._receiving_exchange is not None:
             self._receiving_exchange.fail_body(reason)
             return
--- a/packages/turmericpost-entry/tests/http1/test_strict.py
+++ b/packages/turmericpost-entry/tests/http1/test_strict.py
@@ -51,6 +51,30 @@
     + _HOST
     + _CHUNKED
     + b'fffffffffffffffff\r\n',
+    'an upgrade with a chunked body': _POST
+    + _HOST
+    + b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+    + b'HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n'
+    + _CHUNKED
+    + b'3\r\nabc\r\n0\r\n\r\n',
+    'an upgrade with a length': _POST
+    + _HOST
+    + b'Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 3\r\n\r\nabc',
+    'an upgrade without a body': _GET
+    + _HOST
+    + b'Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n',
+    'a connection option for the length': _POST
+    + _HOST
+    + b'Connection: keep-alive, Content-Length\r\n'
+    + b'Content-Length: 3\r\n\r\nabc',
+    'a connection option for the transfer coding': _POST
+    + _HOST
+    + b'Connection: transfer-encoding\r\n'
+    + _CHUNKED
+    + b'0\r\n\r\n',
+    'a connection option for the host': _GET
+    + _HOST
+    + b'Connection: Host\r\n\r\n',
     'a negative chunk size': _POST + _HOST + _CHUNKED + b'-1\r\n',
     'a prefixed chunk size': _POST + _HOST + _CHUNKED + b'0x1\r\na\r\n',
 }
