Use a server without a start time again once its leaving is forgotten

Cause: the table forgets such a statement after 60 s, since a new start under the same id cannot be told, but the broker's state of the server kept it for good.

Change: a server that is closed for good opens when the table has no statement.

Measured: test_server_without_a_start_time_is_used_again_after_a_while fails on the code before, passes now.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/availability.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/availability.py
@@ -34,7 +34,6 @@
 Whether it has started again under the same id is not known.
 """
 
-_NEVER_S = float('-inf')
 _FOR_GOOD_S = float('inf')
 
 
--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -113,6 +113,8 @@
     def close_until(self, availability: Availability | None) -> None:
         """Apply what the server states, ``None`` if it takes requests."""
         if availability is None:
+            if self.closed_until_s == float('inf'):
+                self.closed_until_s = _NEVER_S
             return
         if availability.usable_from_s > self.closed_until_s:
             self.closed_until_s = availability.usable_from_s
--- a/packages/turmericpost-core/tests/grants/test_availability.py
+++ b/packages/turmericpost-core/tests/grants/test_availability.py
@@ -18,6 +18,7 @@
     probe_backend,
     reported_load,
 )
+from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.availability import (
     MAX_INSTANCES,
     MAX_PAUSE_S,
@@ -128,8 +129,7 @@
         for number in (0, 1):
             probe_backend(self.broker, number, 0)
 
-    def leave(self, number: int, now_s: float) -> None:
-        server = backend(number)
+    def leave(self, server: Backend, now_s: float) -> None:
         self.broker.availability.record_leaving(
             pool_of(server), instance_of(server), now_s
         )
@@ -146,7 +146,7 @@
         )[0]
 
     def test_server_that_leaves_gets_no_permits_and_no_probes(self) -> None:
-        self.leave(0, 0)
+        self.leave(backend(0), 0)
         decisions = []
         for number in range(20):
             now_s = 0.01 * number
@@ -162,7 +162,7 @@
         self.assertEqual(used, {'b1'})
 
     def test_health_tells_why_a_server_is_not_used(self) -> None:
-        self.leave(0, 0)
+        self.leave(backend(0), 0)
         self.pause(1, 0, 3)
         self.request(1, 0.01)
         self.assertEqual(
@@ -170,11 +170,22 @@
             [BackendHealth.LEAVING, BackendHealth.PAUSED],
         )
 
+    def test_server_without_a_start_time_is_used_again_after_a_while(
+        self,
+    ) -> None:
+        undated = backend(0, started_ms=0)
+        self.broker.install_backends([undated], 0)
+        self.leave(undated, 0)
+        self.assertIsInstance(self.request(1, 1), PermitDenial)
+        late_s = UNDATED_LEAVING_S + 1
+        probe_backend(self.broker, 0, late_s)
+        self.assertIsInstance(self.request(2, late_s), PermitGrant)
+
     # Guards against callers that wait in a queue that no server will serve.
     def test_requests_are_denied_at_once_if_all_servers_are_closed(
         self,
     ) -> None:
-        self.leave(0, 0)
+        self.leave(backend(0), 0)
         self.pause(1, 0, 3)
         denial = self.request(1, 0.5)
         self.assertIsInstance(denial, PermitDenial)
@@ -185,7 +196,7 @@
     def test_queued_requests_are_denied_when_the_last_server_closes(
         self,
     ) -> None:
-        self.leave(0, 0)
+        self.leave(backend(0), 0)
         for number in range(5):
             self.broker.request(new_request(number, 0.01), 0.01)
         self.assertTrue(self.broker.has_waiting)
@@ -212,7 +223,7 @@
 
     # Guards against a burst at a server in the instant in which its pause ends.
     def test_server_gets_one_attempt_at_a_time_after_its_pause(self) -> None:
-        self.leave(0, 0)
+        self.leave(backend(0), 0)
         self.pause(1, 0, 1)
         self.request(1, 0.5)
         probe_backend(self.broker, 1, 1.01)
