--- a/packages/turmericpost-entry/tests/gateway/test_foreign_records.py
+++ b/packages/turmericpost-entry/tests/gateway/test_foreign_records.py
@@ -6,19 +6,10 @@
 import unittest
 
 from tests.gateway.fleet_harness import DRAIN_S, Fleet, route
+from tests.platform.samples import ENTRY
 
 _CONFIG_S = 2.0
-_ENTRY = {
-    'Service': 'press',
-    'Address': '127.0.0.1:9',
-    'Zone': 'nasr',
-    'Version': 'v1',
-    'Slots': 4,
-    'State': 'ready',
-    'WarmupLeftMs': 0,
-    'Seq': 1,
-    'born': 1,
-}
+_ENTRY = {**ENTRY, 'Address': '127.0.0.1:9'}
 _FOREIGN_ENTRIES = (
     b'[' * 20_000,
     json.dumps({**_ENTRY, 'Service': 'catalogue-\ud83d'}).encode(),
--- a/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
+++ b/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.platform.samples import ENTRY
 from turmericpost.fleet.message_codec import decode_message, encode_message
 from turmericpost.fleet.messages import KnownVms, PermitMessage
 from turmericpost.fleet.update_codec import decode_update, encode_update
@@ -29,17 +30,6 @@
 
 _HALF_PAIRS = ('\ud83d', 'catalogue-\ud83d', '\udc00x', 'i-\udfff')
 _TOO_LONG = 'x' * 300_000
-_ENTRY = {
-    'Service': 'press',
-    'Address': '10.0.0.9:8080',
-    'Zone': 'nasr',
-    'Version': 'v1',
-    'Slots': 3,
-    'State': 'ready',
-    'WarmupLeftMs': 0,
-    'Seq': 1,
-    'born': 12,
-}
 _ROUTE = {
     'Name': 'r1',
     'Host': 'a.example',
@@ -94,7 +84,7 @@
         for name in ('Service', 'Address', 'Zone', 'State'):
             for text in _HALF_PAIRS:
                 with self.subTest(name=name, text=text):
-                    entry = {**_ENTRY, name: text}
+                    entry = {**ENTRY, name: text}
                     decoded = decode_registration(record('b1', entry))
                     self.assertTrue(decoded.is_err())
 
@@ -102,18 +92,18 @@
         self,
     ) -> None:
         for name in ('Slots', 'born'):
-            entry = {**_ENTRY, name: 2**64}
+            entry = {**ENTRY, name: 2**64}
             decoded = decode_registration(record('b1', entry))
             self.assertTrue(decoded.is_err())
 
     def test_registrations_with_very_long_names_are_invalid(self) -> None:
         for name in ('Service', 'Zone'):
-            entry = {**_ENTRY, name: _TOO_LONG}
+            entry = {**ENTRY, name: _TOO_LONG}
             decoded = decode_registration(record('b1', entry))
             self.assertTrue(decoded.is_err())
 
     def test_keys_that_are_no_text_are_invalid(self) -> None:
-        payload = json.dumps(_ENTRY).encode()
+        payload = json.dumps(ENTRY).encode()
         for key in (b'i-\xff', b'i-\xed\xa0\xbd', b'i-1\r\nX: y', b'i 1', b''):
             with self.subTest(key):
                 appended = bytes((len(key),)) + key + payload
@@ -162,13 +152,13 @@
                 self.assertTrue(decoded.is_err())
 
     @given(
-        st.dictionaries(st.sampled_from(sorted(_ENTRY)), _replacements),
+        st.dictionaries(st.sampled_from(sorted(ENTRY)), _replacements),
         st.one_of(st.just('b1'), st.text(st.characters(), max_size=5)),
     )
     def test_what_is_decoded_can_be_passed_on(
         self, changes: dict[str, Any], key: str
     ) -> None:
-        decoded = decode_registration(record(key, {**_ENTRY, **changes}))
+        decoded = decode_registration(record(key, {**ENTRY, **changes}))
         if decoded.is_err():
             return
         state = FleetState()
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 from twisted.web.server import Site
 
+from tests.platform.samples import ENTRY
 from turmericpost.fleet.store import Registrations, StoreOperationOutcome
 from turmericpost.platform.store_client import StoreClient
 from turmericpost.store.errors import StoreError, StoreErrorKind
@@ -21,17 +22,6 @@
 from turmericpost_standins.store.partition import ProducerSequence
 from turmericpost_standins.store.service import StoreLimits, StoreService
 
-_ENTRY = {
-    'Service': 'press',
-    'Address': '10.0.0.9:8080',
-    'Zone': 'nasr',
-    'Version': 'v1',
-    'Slots': 3,
-    'State': 'ready',
-    'WarmupLeftMs': 0,
-    'Seq': 1,
-    'born': 12,
-}
 _WAIT_S = 8.0
 _VM = Vm('vm1', '10.0.0.1', 7540, '10.0.0.1:80', 'nasr', 'cairo', 5)
 
@@ -49,7 +39,7 @@
         self.client = StoreClient(self.reactor, address)
 
     def register(self, number: int, **changes: object) -> None:
-        entry = json.dumps({**_ENTRY, **changes}).encode()
+        entry = json.dumps({**ENTRY, **changes}).encode()
         self.service.put_keyed('keyed.servers', f'b{number}', entry)
 
     def run(self, steps: Callable[[], Awaitable[Any]]) -> Any:
--- a/packages/turmericpost-entry/tests/platform/test_unreadable_records.py
+++ b/packages/turmericpost-entry/tests/platform/test_unreadable_records.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.platform.samples import ENTRY
 from turmericpost.platform.operator_records import decode_operator_record
 from turmericpost.platform.registry_records import (
     decode_registration,
@@ -21,17 +22,6 @@
     decode_listing,
 )
 
-_ENTRY = {
-    'Service': 'press',
-    'Address': '10.0.0.9:8080',
-    'Zone': 'nasr',
-    'Version': 'v1',
-    'Slots': 3,
-    'State': 'ready',
-    'WarmupLeftMs': 0,
-    'Seq': 1,
-    'born': 12,
-}
 _MANY_DIGITS = '9' * 400
 _TOO_MANY_DIGITS = '9' * 5000
 _NUMBERS = (_MANY_DIGITS, _TOO_MANY_DIGITS, '1e999', '-1e999', 'NaN', '-1')
@@ -39,12 +29,12 @@
 
 
 def registration(**changes: object) -> KeyedRecord:
-    return KeyedRecord(7, 'b1', json.dumps({**_ENTRY, **changes}).encode())
+    return KeyedRecord(7, 'b1', json.dumps({**ENTRY, **changes}).encode())
 
 
 def entries_with_number(name: str) -> Iterator[KeyedRecord]:
     for number in _NUMBERS:
-        entry = json.dumps({**_ENTRY, name: 'NUMBER'})
+        entry = json.dumps({**ENTRY, name: 'NUMBER'})
         text = entry.replace('"NUMBER"', number)
         yield KeyedRecord(7, 'b1', text.encode())
 
--- a/packages/turmericpost-entry/tests/soak/foreign_records.py
+++ b/packages/turmericpost-entry/tests/soak/foreign_records.py
@@ -7,17 +7,9 @@
 from random import Random
 from typing import Any
 
-_ENTRY = {
-    'Service': 'press',
-    'Address': '127.0.0.1:9',
-    'Zone': 'nasr',
-    'Version': 'v1',
-    'Slots': 4,
-    'State': 'ready',
-    'WarmupLeftMs': 0,
-    'Seq': 1,
-    'born': 1,
-}
+from tests.platform.samples import ENTRY
+
+_ENTRY = {**ENTRY, 'Address': '127.0.0.1:9'}
 _TEXTS = ('Service', 'Address', 'Zone', 'State')
 _NUMBERS = ('Slots', 'WarmupLeftMs', 'born')
 _HALF_PAIRS = ('\ud800', 'press\udfff', 'i-\ud83d')
