Void a removal only by a read past all that it was found in

Cause: a removal found in a listing had the offset before it, where the record cannot be. Two VMs that listed the registry after an outage took each other's offsets for evidence that the server was registered, and both kept it.

Change: a removal keeps the end of the read in which it was found.

Measured: test_removals_found_in_listings_do_not_void_each_other failed before, passes now.

Conclusion: a VM is evidence only if it has read what this one has read.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -37,10 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Removal:
-    """A removal that takes effect at ``due_s``, and an offset not after it."""
+    """A removal that takes effect at ``due_s``.
+
+    It lies between ``offset`` and ``end``, the offset after what was read when
+    it was found; a listing does not tell where.
+    """
 
     due_s: float
     offset: int
+    end: int
 
 
 class BackendDirectory:
@@ -106,13 +111,12 @@
         if next_offset < self.next_offset:
             return False
         listed = tuple(records)
+        gap = (self.next_offset, next_offset)
         present = {entry.backend_id for entry in listed if entry.backend}
         changed = False
         for backend_id in tuple(self.backends):
             if backend_id not in present:
-                changed = (
-                    self._remove(backend_id, self.next_offset, now_s) or changed
-                )
+                changed = self._remove(backend_id, gap, now_s) or changed
         for record in listed:
             changed = self._apply(record, now_s) or changed
         self.next_offset = next_offset
@@ -168,14 +172,15 @@
     def read_by_peer(self, offset: int) -> None:
         """Skip the records that a VM with the same registry has read.
 
-        That VM has also read the removals before ``offset``. It still has these
-        servers, so they have registered again.
+        That VM has also read the removals that end before ``offset``, and has
+        none of them pending. It still has these servers, so they have registered
+        again.
         """
         self.next_offset = max(self.next_offset, offset)
         self._removals = {
             backend_id: removal
             for backend_id, removal in self._removals.items()
-            if removal.offset >= offset
+            if removal.end > offset
         }
 
     def withhold(self, now_s: float) -> bool:
@@ -219,7 +224,8 @@
     def _apply(self, record: Registration, now_s: float) -> bool:
         backend = record.backend
         if backend is None:
-            changed = self._remove(record.backend_id, record.offset, now_s)
+            place = (record.offset, record.offset + 1)
+            changed = self._remove(record.backend_id, place, now_s)
         else:
             self._removals.pop(record.backend_id, None)
             changed = self._register(backend)
@@ -251,12 +257,14 @@
         self.backends = {**self.backends, backend.backend_id: backend}
         return True
 
-    def _remove(self, backend_id: str, offset: int, now_s: float) -> bool:
+    def _remove(
+        self, backend_id: str, place: tuple[int, int], now_s: float
+    ) -> bool:
         known = self.backends.get(backend_id)
         if known is None:
             return False
         if now_s < self._grace_until_s and not known.is_draining:
-            removal = _Removal(self._grace_until_s, offset)
+            removal = _Removal(self._grace_until_s, *place)
             self._removals.setdefault(backend_id, removal)
             return False
         self._drop(backend_id)
--- a/packages/turmericpost-core/tests/fleet/test_directory.py
+++ b/packages/turmericpost-core/tests/fleet/test_directory.py
@@ -95,6 +95,22 @@
         self.assertFalse(self.directory.withhold(late_s))
         self.assertEqual(set(self.directory.backends), {'b0', 'b1'})
 
+    # Guards against two VMs that list the registry after an outage and take each
+    # other for evidence that a server that has left is registered.
+    def test_removals_found_in_listings_do_not_void_each_other(self) -> None:
+        other = BackendDirectory()
+        other.apply_update(self.directory.update_since(None))
+        other.read_by_peer(4)
+        for directory, end in ((self.directory, 9), (other, 10)):
+            directory.start_reregistration_grace(10)
+            directory.resync([registered(8, 1)], end, 10)
+        for _ in range(2):
+            self.directory.read_by_peer(other.resume_offset)
+            other.read_by_peer(self.directory.resume_offset)
+        for directory in (self.directory, other):
+            self.assertTrue(directory.expire(10 + REREGISTRATION_GRACE_S))
+            self.assertEqual(set(directory.backends), {'b1'})
+
     def test_removal_stays_while_it_is_pending_at_the_other_vm(self) -> None:
         self.directory.start_reregistration_grace(10)
         self.directory.apply_records([removed(2, 0)], 10)
