--- a/packages/turmericpost-entry/tests/soak/checks.py
+++ b/packages/turmericpost-entry/tests/soak/checks.py
@@ -41,9 +41,7 @@
     if request.status == _OK and request.response_id != request.request_id:
         yield _describe('got another response', request, request.response_id)
     if request.is_cut and not _may_be_cut(request, runs):
-        kills = [f'{killed_s:.3f}' for killed_s in request.vm.killed_s]
-        detail = f'runs {runs}, kills of the VM at {kills}'
-        yield _describe('was cut off', request, detail)
+        yield _describe('was cut off', request, (runs, request.vm.history()))
     if any(run.body != request.body for run in runs):
         yield _describe('ran with another body', request, len(runs))
 
--- a/packages/turmericpost-entry/tests/soak/vm_process.py
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -75,6 +75,7 @@
         self.killed_s: list[float] = []
         self.paused_s: list[float] = []
         self.starts_s: list[float] = []
+        self.stops_s: list[float] = []
         self.stop_begun_s: float | None = None
         self.is_paused = False
         self.faults: list[str] = []
@@ -119,6 +120,19 @@
             since_s <= event_s <= until_s for event_s in events_s
         )
 
+    def history(self) -> dict[str, list[str]]:
+        """Return the times of starts, stops, kills and ends of pauses."""
+        events = {
+            'starts': self.starts_s,
+            'stops': self.stops_s,
+            'kills': self.killed_s,
+            'pauses': self.paused_s,
+        }
+        return {
+            name: [f'{time_s:.3f}' for time_s in times_s]
+            for name, times_s in events.items()
+        }
+
     def start(self) -> None:
         """Start the process; its log is appended to that of earlier ones."""
         self.starts_s.append(self._reactor.seconds())
@@ -143,6 +157,7 @@
         """Begin a planned stop."""
         if self._process is not None and self.stop_begun_s is None:
             self.stop_begun_s = self._reactor.seconds()
+            self.stops_s.append(self.stop_begun_s)
             self._expects_exit = True
             self._process.send_signal(signal.SIGTERM)
 
