--- a/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/json_fields.py
@@ -51,10 +51,7 @@
 
 
 def parse_address(text: str) -> Address:
-    """Return the address in a text ``HOST:PORT``; the host is an IPv4 address.
-
-    Raises ``ValueError`` for other texts.
-    """
+    """Return the IPv4 address and port in a text; else raise ``ValueError``."""
     host, _, port = text.rpartition(':')
     if not isIPAddress(host):
         raise ValueError('the host is not an IPv4 address')
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -62,11 +62,7 @@
 """Timeout of one page of a listing, which may be a megabyte."""
 
 WATCH_MARGIN_S = 0.3
-"""Time for the response to a read after its wait has ended.
-
-Connections may go silent without being closed, so the response to each wait is
-also a sign of life of the connection.
-"""
+"""Time for the response to a read after its wait has ended."""
 
 _OK = 200
 _MS_PER_S = 1000
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -20,8 +20,7 @@
 class KeyedRecord:
     """A record of a keyed topic; an empty payload deletes the key.
 
-    Bytes of the key that are not UTF-8 are kept as surrogate escapes, so that
-    different keys stay different.
+    Bytes of the key that are not UTF-8 are kept as surrogate escapes.
     """
 
     offset: int
