--- a/packages/turmericpost-entry/tests/soak/test_statements.py
+++ b/packages/turmericpost-entry/tests/soak/test_statements.py
@@ -81,7 +81,7 @@
             )
 
     def late_after_leaving(self) -> int:
-        """Return the calls that reached the server too late, by their VM."""
+        """Return how many calls reached the server too late for their VM."""
         told_s: dict[int, float] = {}
         for statement in self._delivered():
             vm = self.calls[statement.request_id].vm
