Check servers and removals of a listing in one assertion

Cause: made a test one expression longer than the style check allows.

Change: both counts, one server and seven records, in one assertion.

--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -132,8 +132,7 @@
         store.register(6, born=True)
         listed = store.run(store.client.list_backends).unwrap()
         servers = [one for one in listed.records if one.backend is not None]
-        self.assertEqual(len(servers), 1)
-        self.assertEqual(len(listed.records), 1 + len(listed.invalid))
+        self.assertEqual((len(servers), len(listed.records)), (1, 7))
         self.assertEqual(
             {record.key for record in listed.invalid},
             {f'b{number}' for number in range(1, 7)},
