--- a/packages/turmericpost-entry/tests/soak/vm_process.py
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -7,10 +7,14 @@
 import signal
 import subprocess
 import sys
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
+from tests.gateway.fleet_harness import DOMAINS
+
 GRACE_S = 6
 CHECK_INTERVAL_S = 0.05
 _PORTS = {'Front': 18548, 'Ready': 18542, 'Control': 18544, 'Directory': 18546}
@@ -18,6 +22,7 @@
 _PARENT_DEATH_SIGNAL_OPTION = 1
 _KB_PER_MB = 1024
 _LIBC = ctypes.CDLL(None)
+_NO_VARIABLES: Mapping[str, str] = MappingProxyType({})
 
 
 @dataclass(frozen=True)
@@ -30,6 +35,7 @@
     region: str
     seed_host: str
     store_port: int
+    domain_regions: Mapping[str, str] = field(default_factory=lambda: DOMAINS)
 
     def text(self) -> str:
         """Return the settings file."""
@@ -37,14 +43,17 @@
             f'Listen.{use}={self.host}:{port}' for use, port in _PORTS.items()
         ]
         seed_port = _PORTS['Control']
+        zones = [
+            f'Zones.{domain}={region}'
+            for domain, region in self.domain_regions.items()
+        ]
         return '\n'.join(
             (
                 f'NodeName={self.name}',
                 f'Ip={self.host}',
                 f'Zone={self.failure_domain}',
                 f'Region={self.region}',
-                'Zones.nasr=cairo',
-                'Zones.smouha=alex',
+                *zones,
                 *listen,
                 'InternalPortRange=18540,18541',
                 f'Seeds={self.seed_host}:{seed_port}',
@@ -64,12 +73,19 @@
 class VmProcess:
     """An entry VM that is started again whenever it has ended.
 
+    The process runs ``module`` with ``variables`` in its environment.
     ``killed_s`` and ``paused_s`` list the times of kills and of the ends of
     pauses. ``faults`` describes what a process did that it should not.
     """
 
     def __init__(
-        self, reactor: Any, settings: VmSettings, folder: Path
+        self,
+        reactor: Any,
+        settings: VmSettings,
+        folder: Path,
+        *,
+        module: str = 'turmericpost.platform',
+        variables: Mapping[str, str] = _NO_VARIABLES,
     ) -> None:
         self.settings = settings
         self.killed_s: list[float] = []
@@ -80,6 +96,8 @@
         self.is_paused = False
         self.faults: list[str] = []
         self._reactor = reactor
+        self._module = module
+        self._variables = variables
         self._expects_exit = False
         self._log_start_bytes = 0
         self._settings_path = folder / f'{settings.name}.conf'
@@ -140,13 +158,14 @@
         self._expects_exit = False
         environment = {
             **os.environ,
+            **self._variables,
             'TURMERICPOST_BOOT': str(self._settings_path),
         }
         self._log_path.touch()
         self._log_start_bytes = self._log_path.stat().st_size
         with self._log_path.open('ab') as log:
             self._process = subprocess.Popen(
-                (sys.executable, '-m', 'turmericpost.platform'),
+                (sys.executable, '-m', self._module),
                 env=environment,
                 stdout=log,
                 stderr=log,
