Tell that a VM is behind, since when, and which ways have failed

Callers saw: added routes refused with 404 by VMs that knew that others had newer state. No log line and no gauge told so, and one fault of an encoder printed raw tracebacks for each request of another VM. Change: for operator records and registry, a VM keeps which newer versions others state and since when (StateLag, pure). state-behind (5111) after a fifth of the configuration bound, with the failures meanwhile; state-caught-up (5112) with the source; gauges operator_behind_s, registry_behind_s and _records; turmericpost_state_failures_total by way and cause. explain-request shows the line of the call's VM however old it is. The same exception is logged once a minute with a count; what Twisted catches no longer goes to standard error as text beside the JSON line.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
@@ -13,12 +13,14 @@
     Both are in seconds and follow from the drain bound, the time within which
     a drain must take effect on every VM. ``watch_wait_s`` is the time for
     which a read waits for records of the operator; it follows from the time
-    within which a configuration must be in force.
+    within which a configuration must be in force, as does ``behind_after_s``,
+    the time without newer state after which a VM counts as behind.
     """
 
     period_s: float
     stale_after_s: float
     watch_wait_s: float
+    behind_after_s: float
 
 
 PERIOD_SHARE = 0.3
@@ -44,6 +46,11 @@
 response, another read and the updates of the other VMs.
 """
 
+BEHIND_SHARE = 0.2
+"""Time without newer state after which a VM counts as behind, as a share of
+the configuration bound. Updates from other VMs take a tenth of it at most.
+"""
+
 MAX_RETRY_PAUSE_S = 2.0
 """Maximum pause after failed reads.
 
@@ -59,6 +66,7 @@
         period_s=PERIOD_SHARE * drain_bound_s,
         stale_after_s=STALE_SHARE * drain_bound_s,
         watch_wait_s=WATCH_WAIT_SHARE * config_bound_s,
+        behind_after_s=BEHIND_SHARE * config_bound_s,
     )
 
 
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/request_timeline.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/request_timeline.py
@@ -19,6 +19,8 @@
 _BACKEND_CLOSED = 'backend-closed'
 _BROKER_CHANGED = 'broker-changed'
 _KNOWLEDGE_CHANGED = 'knowledge-changed'
+_STATE_BEHIND = 'state-behind'
+_STATE_CAUGHT_UP = 'state-caught-up'
 
 
 @dataclass
@@ -52,12 +54,16 @@
             _BACKEND_CLOSED,
             _BROKER_CHANGED,
             _KNOWLEDGE_CHANGED,
+            _STATE_BEHIND,
+            _STATE_CAUGHT_UP,
         }:
             candidate_changes.append(event)
     timeline.calls.sort(key=_timestamp)
-    timeline.changes = sorted(
-        _related_changes(candidate_changes, timeline.calls), key=_timestamp
+    related = (
+        *_related_changes(candidate_changes, timeline.calls),
+        *_lags(candidate_changes, timeline.calls),
     )
+    timeline.changes = sorted(related, key=_timestamp)
     return timeline
 
 
@@ -132,6 +138,26 @@
             yield event
 
 
+def _lags(
+    events: list[dict[str, Any]], calls: list[dict[str, Any]]
+) -> Iterator[dict[str, Any]]:
+    """Yield since when the VMs of the calls were behind, however long before.
+
+    These are their last lines about each part of the state.
+    """
+    last_lines = {
+        (call.get('vm'), event.get('part')): event
+        for call in calls
+        for event in sorted(events, key=_timestamp)
+        if event.get('name') in {_STATE_BEHIND, _STATE_CAUGHT_UP}
+        and event.get('vm') == call.get('vm')
+        and _timestamp(event) <= _timestamp(call)
+    }
+    for event in last_lines.values():
+        if event.get('name') == _STATE_BEHIND:
+            yield event
+
+
 def _lookback_start(at_utc: str) -> str:
     """Return the time from which changes are shown, empty if it is unknown."""
     try:
--- a/packages/turmericpost-ctl/tests/test_request_timeline.py
+++ b/packages/turmericpost-ctl/tests/test_request_timeline.py
@@ -50,6 +50,34 @@
         self.assertIn('deadline-exceeded', text)
         self.assertIn('standing=failing', text)
 
+    # Guards against a refusal whose cause, state that the VM lacked for long,
+    # cannot be found from the id of the request.
+    def test_timeline_tells_since_when_the_vm_was_behind(self) -> None:
+        behind = {
+            'at_utc': '2026-12-04T09:00:00.000',
+            'vm': 'vm1',
+            'name': 'state-behind',
+            'part': 'operator',
+            'failures': {'fetch incomplete': 7},
+        }
+        caught_up = {
+            **behind,
+            'name': 'state-caught-up',
+            'part': 'registry',
+        }
+        lines = [
+            json.dumps(event)
+            for event in (
+                {**behind, 'vm': 'vm2'},
+                {**behind, 'part': 'registry'},
+                {**caught_up, 'at_utc': '2026-12-04T09:00:01.000'},
+                behind,
+                _CALL_EVENT,
+            )
+        ]
+        timeline = read_timeline(lines, 'abc')
+        self.assertEqual(timeline.changes, [behind])
+
     def test_unknown_request_has_an_empty_timeline(self) -> None:
         timeline = read_timeline([json.dumps(_CALL_EVENT)], 'zzz')
         self.assertEqual(timeline.calls, [])
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from turmericpost.fleet.lag_monitor import LagMonitor
 from turmericpost.fleet.messages import StateVersion
 from turmericpost.fleet.store import FleetStore
 from turmericpost.fleet.store_reader import ReaderCallbacks, StoreReader
@@ -18,6 +19,7 @@
     FleetUpdate,
     KnownVersions,
 )
+from turmericpost_core.fleet.state_lag import StateWay
 from turmericpost_core.membership.domain_view import DomainView, Vm
 from turmericpost_core.membership.store_read_schedule import (
     ReadSchedule,
@@ -64,13 +66,16 @@
         is_seed_vm: bool = True,
     ) -> None:
         self.state = FleetState()
+        self.monitor = LagMonitor(clock, self.state, schedule.behind_after_s)
         self.reader = StoreReader(
             reactor,
             clock,
             store,
             self.state,
             schedule,
-            ReaderCallbacks(self.is_reader, on_change),
+            ReaderCallbacks(
+                self.is_reader, self._state_changed, self.monitor.store_read
+            ),
         )
         self._clock = clock
         self._view = view
@@ -81,6 +86,7 @@
             self._apply_update,
             self._start_deferred_fetch,
             self._retry_busy,
+            self._fetch_failed,
         )
         self._fetched_versions: dict[str, StateVersion] = {}
         self._deferred_fetch: tuple[Vm, StateVersion] | None = None
@@ -126,6 +132,7 @@
         for ``OTHER_DOMAIN_DELAY_S``.
         """
         now_s = self._clock.monotonic_s()
+        self.monitor.version_stated(vm.name, state_version)
         is_same_domain = vm.failure_domain == self._view.own.failure_domain
         if is_same_domain:
             self._read_ages_s[vm.name] = (state_version.read_age_s, now_s)
@@ -147,11 +154,14 @@
         if decoded.is_err():
             detail = decoded.unwrap_err().detail
             log_event(LogEvent.UPDATE_FAILED, vm=sender, detail=detail)
+            self.monitor.failed(StateWay.PUSH, 'malformed')
             return
         versions_before = self.state.versions
-        self.state.apply_update(decoded.unwrap())
+        outcome = self.state.apply_update(decoded.unwrap())
+        if outcome is UpdateOutcome.MISMATCH:
+            self.monitor.failed(StateWay.PUSH, 'mismatch')
         if self.state.versions != versions_before:
-            self._on_change(sender)
+            self._state_changed(sender)
 
     def vms_lost(self, names: Iterable[str]) -> None:
         """Remove the read ages and state versions of lost VMs."""
@@ -159,6 +169,13 @@
             self._read_ages_s.pop(name, None)
             self._fetched_versions.pop(name, None)
 
+    def _state_changed(self, source: str) -> None:
+        self.monitor.state_changed(source)
+        self._on_change(source)
+
+    def _fetch_failed(self, cause: str) -> None:
+        self.monitor.failed(StateWay.FETCH, cause)
+
     def _is_newer(self, state_version: StateVersion) -> bool:
         state = self.state
         if state_version.operator_offset > state.operator_offset:
@@ -202,8 +219,9 @@
         versions_before = self.state.versions
         outcome = self.state.apply_update(update)
         if self.state.versions != versions_before:
-            self._on_change(vm.name)
+            self._state_changed(vm.name)
         if outcome is UpdateOutcome.MISMATCH:
+            self._fetch_failed('mismatch')
             is_whole = update.registry.base is None
             log_event(
                 LogEvent.UPDATE_DIFFERS,
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -22,6 +22,7 @@
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.fleet.state_lag import StatePart
 from turmericpost_core.membership.store_read_schedule import (
     ReadSchedule,
     retry_pause_s,
@@ -40,11 +41,12 @@
 
     ``is_reader`` returns whether this VM should read now. ``changed`` is
     called with ``registry`` or ``operator`` after that part of the state has
-    changed.
+    changed, ``was_read`` after each read with the time when it began.
     """
 
     is_reader: Callable[[], bool]
     changed: Callable[[str], None]
+    was_read: Callable[[StatePart, float], None]
 
 
 class StoreReader:
@@ -152,6 +154,7 @@
                 read_result.next_offset,
             )
         changed = directory.expire(self.last_read_s) or changed
+        self._callbacks.was_read(StatePart.REGISTRY, self.last_read_s)
         if changed:
             self._callbacks.changed('registry')
 
@@ -160,6 +163,7 @@
 
         Returns the pause in seconds before the next read.
         """
+        begun_s = self._clock.monotonic_s()
         offset = self._state.operator_offset
         is_known = offset or self._has_operator_listing
         is_listing = self._needs_operator_listing or not is_known
@@ -172,6 +176,7 @@
         if read_result.is_err():
             return self._operator_read_failed(read_result.unwrap_err())
         self._operator_failures = 0
+        self._callbacks.was_read(StatePart.OPERATOR, begun_s)
         self._apply_operator(read_result.unwrap(), is_listing=is_listing)
         return 0
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -103,8 +103,9 @@
 class UpdateFetcher:
     """Fetches updates from other VMs, a limited number at a time.
 
-    ``on_update`` gets each update, ``on_busy`` a VM that was busy, and
-    ``on_end`` is called at the end of each fetch.
+    ``on_update`` gets each update, ``on_busy`` a VM that was busy,
+    ``on_failure`` the cause of a failure, and ``on_end`` is called at the end
+    of each fetch.
     """
 
     def __init__(
@@ -113,11 +114,13 @@
         on_update: Callable[[FleetUpdate, Vm], None],
         on_end: Callable[[], None],
         on_busy: Callable[[Vm], None],
+        on_failure: Callable[[str], None],
     ) -> None:
         self._reactor = reactor
         self._on_update = on_update
         self._on_end = on_end
         self._on_busy = on_busy
+        self._on_failure = on_failure
         self._in_flight: set[str] = set()
 
     def fetch(self, vm: Vm, known: KnownVersions) -> bool:
@@ -148,9 +151,11 @@
         self._in_flight.discard(vm.name)
         if wire is None:
             log_event(LogEvent.UPDATE_FAILED, vm=vm.name)
+            self._on_failure('incomplete')
         elif wire:
             self._handle_update(vm, wire)
         else:
+            self._on_failure('busy')
             self._reactor.callLater(BUSY_RETRY_S, self._on_busy, vm)
         self._on_end()
 
@@ -159,6 +164,7 @@
         if decoded.is_err():
             detail = decoded.unwrap_err().detail
             log_event(LogEvent.UPDATE_FAILED, vm=vm.name, detail=detail)
+            self._on_failure('malformed')
         else:
             self._on_update(decoded.unwrap(), vm)
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
@@ -14,6 +14,7 @@
 
 from turmericpost.fleet.store import StoreOperationOutcome
 from turmericpost.observe.histogram import new_histogram
+from turmericpost_core.fleet.state_lag import StateWay
 from turmericpost_core.outcome.reasons import RefusalReason
 
 _US_PER_S = 1_000_000
@@ -45,10 +46,12 @@
         metrics: GatewayMetrics,
         gauges: Callable[[], Mapping[str, float]],
         store_calls: Callable[[], Mapping[StoreOperationOutcome, int]],
+        state_failures: Mapping[tuple[StateWay, str], int],
     ) -> None:
         self._metrics = metrics
         self._gauges = gauges
         self._store_calls = store_calls
+        self._state_failures = state_failures
 
     def collect(self) -> Iterator[Metric]:
         """Yield every metric family."""
@@ -76,6 +79,7 @@
         )
         yield _by_label('sends_failed', 'cause', metrics.failed_attempts)
         yield self._store_call_counts()
+        yield self._state_failure_counts()
         yield self._call_latency()
         for name, number in self._gauges().items():
             yield GaugeMetricFamily(
@@ -100,6 +104,16 @@
             family.add_metric([counted.operation, counted.outcome], count)
         return family
 
+    def _state_failure_counts(self) -> Metric:
+        family = CounterMetricFamily(
+            'turmericpost_state_failures',
+            'Failures to pass on state between VMs.',
+            labels=['way', 'cause'],
+        )
+        for (way, cause), count in self._state_failures.items():
+            family.add_metric([way.value, cause], count)
+        return family
+
     def _call_latency(self) -> Metric:
         gauge = GaugeMetricFamily(
             'turmericpost_call_latency_us',
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -242,6 +242,7 @@
                 self.metrics,
                 self._gauges,
                 lambda: self._store.outcomes,
+                self.state_sync.monitor.lag.failures,
             ),
         )
         self._endpoint_port = new_caller_port(
@@ -358,6 +359,7 @@
         self.call_path.broker_service.evict_expired()
         self.call_path.backend_status_log.log_changes()
         self.ingress.log_dropped_lines()
+        self.state_sync.monitor.report()
         if self.state.directory.withhold(now_s):
             self._state_changed('withheld')
 
@@ -421,6 +423,7 @@
             'server_report_age_s': self._oldest_report_age_s(),
             'servers_with_rate_limit': self._count_rate_limits(),
             **self.call_path.broker_service.closed_counts(),
+            **dict(self.state_sync.monitor.gauges()),
         }
 
     def _count_rate_limits(self) -> int:
--- a/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/bounded_output.py
@@ -13,12 +13,11 @@
 from typing import Any
 
 from logbook import Handler
-from twisted.logger import globalLogPublisher
 
 from turmericpost.observe.events import (
     LogEvent,
     log_event,
-    log_framework_failure,
+    observe_framework,
 )
 
 MAX_BUFFER_BYTES = 262144
@@ -87,7 +86,7 @@
     """Send all log events to standard output and flush them periodically."""
     output = BoundedLogBuffer(sys.stdout.fileno())
     BufferedLogHandler(output, vm_name).push_application()
-    globalLogPublisher.addObserver(log_framework_failure)
+    observe_framework()
     reactor.callLater(FLUSH_INTERVAL_S, _flush, reactor, output)
     reactor.addSystemEventTrigger('after', 'shutdown', output.flush)
     return output
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -8,12 +8,15 @@
 import json
 import sys
 from enum import Enum
+from time import monotonic
 from typing import Any
 
 from logbook import Logger, StreamHandler, lookup_level
-from twisted.logger import globalLogPublisher
+from twisted.logger import globalLogBeginner
 from twisted.python.failure import Failure
 
+from turmericpost.observe.repeated_failures import RepeatedFailures
+
 
 class Level(Enum):
     """Level of a log event."""
@@ -146,6 +149,16 @@
         Level.WARNING,
         'an update from a peer could not be fetched or decoded',
     )
+    STATE_BEHIND = (
+        5111,
+        Level.WARNING,
+        'other VMs have had newer state for a while; why this VM lacks it',
+    )
+    STATE_CAUGHT_UP = (
+        5112,
+        Level.INFO,
+        'this VM has the state again that others have',
+    )
     UPDATE_DIFFERS = (
         5106,
         Level.WARNING,
@@ -162,7 +175,14 @@
         Level.ERROR,
         'the settings file is invalid; the old settings stay in force',
     )
-    UNEXPECTED_FAILURE = (9001, Level.ERROR, 'an unexpected exception occurred')
+    UNEXPECTED_FAILURE = (
+        9001,
+        Level.ERROR,
+        (
+            'an unexpected exception occurred; the same one is logged '
+            'again after a minute, with the number left out'
+        ),
+    )
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         """Store number, level and meaning as attributes of the event."""
@@ -172,6 +192,7 @@
 
 
 _logger = Logger('turmericpost')
+_repeated_failures = RepeatedFailures(monotonic)
 
 
 def open_log(*, debug: bool) -> None:
@@ -183,15 +204,23 @@
         format_string='{record.message}',
     )
     output.push_application()
-    globalLogPublisher.addObserver(log_framework_failure)
+    observe_framework()
 
 
 def log_failure(failure: Failure) -> None:
-    """Log an unexpected exception with its traceback."""
+    """Log an unexpected exception with its traceback.
+
+    The same exception from the same lines of code is logged once a minute.
+    """
+    places = tuple((frame[1], frame[2]) for frame in failure.frames)
+    left_out = _repeated_failures.record((failure.type, places))
+    if left_out is None:
+        return
     log_event(
         LogEvent.UNEXPECTED_FAILURE,
         error=failure.type.__name__,
         detail=failure.getErrorMessage(),
+        left_out=left_out,
         traceback=failure.getTraceback(),
     )
 
@@ -208,6 +237,13 @@
     _logger.log(level, '{}', json.dumps(line, default=str))
 
 
+def observe_framework() -> None:
+    """Log the exceptions that Twisted caught, and nothing else of it."""
+    globalLogBeginner.beginLoggingTo(
+        [log_framework_failure], discardBuffer=True, redirectStandardIO=False
+    )
+
+
 def log_framework_failure(framework_event: dict[str, Any]) -> None:
     """Log an exception that Twisted caught; ignore other Twisted events."""
     failure = framework_event.get('log_failure')
--- /dev/null
+++ b/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
@@ -0,0 +1,84 @@
+"""A VM that is behind says so, and says why."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from twisted.internet.task import Clock
+
+from tests.fleet.test_update_stream import large_state
+from tests.harness import FakeClock
+from turmericpost.fleet.lag_monitor import LagMonitor
+from turmericpost.fleet.messages import StateVersion
+from turmericpost.observe.events import LogEvent
+from turmericpost_core.fleet.state import FleetState, KnownVersions
+from turmericpost_core.fleet.state_lag import StatePart, StateWay
+
+REPORT_AFTER_S = 0.4
+
+
+class LagMonitorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reactor = Clock()
+        self.state = FleetState()
+        self.monitor = LagMonitor(
+            FakeClock(self.reactor), self.state, REPORT_AFTER_S
+        )
+        self.newer = large_state()
+        logging = patch('turmericpost.fleet.lag_monitor.log_event')
+        self.logged = logging.start()
+        self.addCleanup(logging.stop)
+
+    def _hear(self) -> None:
+        versions = self.newer.versions
+        assert versions.backends is not None
+        self.monitor.version_stated(
+            'vm1',
+            StateVersion(0, versions.operator_offset, versions.backends, 0),
+        )
+
+    # Guards against a VM that is behind for good while no line and no gauge
+    # tells so.
+    def test_lag_is_logged_once_with_the_failures(self) -> None:
+        self._hear()
+        self.monitor.failed(StateWay.FETCH, 'incomplete')
+        self.monitor.report()
+        self.logged.assert_not_called()
+        self._report_late()
+        self._report_late()
+        events = [call.args[0] for call in self.logged.call_args_list]
+        self.assertEqual(events, [LogEvent.STATE_BEHIND] * 2)
+        fields = self.logged.call_args_list[0].kwargs
+        self.assertEqual(
+            (fields['part'], fields['stated_by'], fields['failures']),
+            ('operator', 'vm1', {'fetch incomplete': 1}),
+        )
+
+    def test_end_of_a_lag_is_logged_with_the_source(self) -> None:
+        self._hear()
+        self._report_late()
+        self.state.apply_update(self.newer.update_since(KnownVersions()))
+        self.monitor.state_changed('vm2')
+        self.monitor.report()
+        last = self.logged.call_args
+        self.assertEqual(last.args, (LogEvent.STATE_CAUGHT_UP,))
+        self.assertEqual(last.kwargs['source'], 'vm2')
+
+    def _report_late(self) -> None:
+        self.reactor.advance(REPORT_AFTER_S + 0.1)
+        self.monitor.report()
+
+    def test_gauges_tell_how_long_and_how_far(self) -> None:
+        self._hear()
+        self.reactor.advance(3)
+        gauges = dict(self.monitor.gauges())
+        self.assertEqual(gauges['operator_behind_s'], 3)
+        self.assertEqual(gauges['operator_behind_records'], 1)
+        self.assertEqual(gauges['registry_behind_records'], 400)
+        self.monitor.store_read(StatePart.OPERATOR, self.reactor.seconds())
+        self.assertEqual(dict(self.monitor.gauges())['operator_behind_s'], 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -129,7 +129,9 @@
             self.store,
             self.state,
             self.schedule,
-            ReaderCallbacks(lambda: True, self.changes.append),
+            ReaderCallbacks(
+                lambda: True, self.changes.append, lambda _part, _begun_s: None
+            ),
         )
 
     def advance_time(self, seconds: float) -> None:
--- a/packages/turmericpost-entry/tests/fleet/test_update_stream.py
+++ b/packages/turmericpost-entry/tests/fleet/test_update_stream.py
@@ -215,12 +215,14 @@
         self.reactor = MemoryReactorClock()
         self.updated_from: list[str] = []
         self.busy_vms: list[str] = []
+        self.failures: list[str] = []
         self.ended_fetches = 0
         self.fetcher = UpdateFetcher(
             self.reactor,
             lambda _, sender: self.updated_from.append(sender.name),
             self._end,
             lambda sender: self.busy_vms.append(sender.name),
+            self.failures.append,
         )
 
     def _end(self) -> None:
@@ -249,6 +251,7 @@
             protocol.connectionLost(Failure(end))
         self.assertEqual(self.updated_from, [])
         self.assertEqual(self.ended_fetches, 2)
+        self.assertEqual(self.failures, ['malformed', 'incomplete'])
 
     def test_busy_vm_is_retried_without_a_failure(self) -> None:
         with patch('turmericpost.fleet.update_stream.log_event') as logged:
--- a/packages/turmericpost-entry/tests/gateway/test_gateway_metrics.py
+++ b/packages/turmericpost-entry/tests/gateway/test_gateway_metrics.py
@@ -9,6 +9,7 @@
     GatewayCollector,
     GatewayMetrics,
 )
+from turmericpost_core.fleet.state_lag import StateWay
 from turmericpost_core.outcome.reasons import RefusalReason
 
 
@@ -20,6 +21,7 @@
             self.metrics,
             lambda: {'vms_heard': 5},
             lambda: self.store_calls,
+            {(StateWay.FETCH, 'busy'): 4},
         )
 
     def lines(self) -> set[str]:
@@ -35,6 +37,12 @@
         )
         self.assertIn(line, self.lines())
 
+    def test_failures_to_pass_on_state_are_counted_by_way_and_cause(
+        self,
+    ) -> None:
+        line = 'turmericpost_state_failures_total{cause="busy",way="fetch"} 4.0'
+        self.assertIn(line, self.lines())
+
     def test_refusals_are_exported_for_each_reason(self) -> None:
         self.metrics.refusals[RefusalReason.NO_FREE_SLOT] += 2
         lines = self.lines()
