Tell a failure to hand on state from a failed read and from a busy VM

Cause: an exception of the encoder left the loop that had read the store, and the handler of the stream on which another VM asked. The first delayed the next read, the second closed the stream like a busy VM does, so that each asker came back after 0.1 s. Change: both are caught where state is handed on, logged and counted (turmericpost_state_failures_total, ways send-push and serve-fetch); heartbeats still tell the new versions; the stream is aborted, which counts as incomplete at the asker. Pushes move to fleet/state_pusher.py.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -29,7 +29,7 @@
     encode_update_request,
     parse_update_request,
 )
-from turmericpost.observe.events import LogEvent, log_event
+from turmericpost.observe.events import LogEvent, log_event, log_failure
 from turmericpost_core.fleet.state import FleetState, FleetUpdate, KnownVersions
 from turmericpost_core.membership.domain_view import Vm
 
@@ -62,12 +62,19 @@
 
 
 class UpdateServer(Factory):
-    """Serves state updates to other VMs."""
+    """Serves state updates to other VMs.
+
+    ``on_failure`` is called after an update could not be encoded. Its stream is
+    aborted, so that the other VM does not take this one for busy.
+    """
 
     noisy = False
 
-    def __init__(self, state: FleetState, reactor: Any) -> None:
+    def __init__(
+        self, state: FleetState, reactor: Any, on_failure: Callable[[], None]
+    ) -> None:
         self.reactor = reactor
+        self.on_failure = on_failure
         self.sending_bytes = 0
         self._state = state
         self._encoded_updates: dict[KnownVersions, bytes] = {}
@@ -210,7 +217,13 @@
         if known.is_err():
             self.transport.abortConnection()
             return
-        wire = self._server.encoded_update(known.unwrap())
+        try:
+            wire = self._server.encoded_update(known.unwrap())
+        except Exception:
+            log_failure(Failure())
+            self._server.on_failure()
+            self.transport.abortConnection()
+            return
         if self._server.has_room_for(len(wire)):
             self._own_sending_bytes = len(wire)
             self._server.sending_bytes += len(wire)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -16,9 +16,9 @@
 )
 from turmericpost.fleet.messages import Message
 from turmericpost.fleet.peers import PeerCallbacks, PeerProtocol
+from turmericpost.fleet.state_pusher import StatePusher
 from turmericpost.fleet.state_sync import StateSync
 from turmericpost.fleet.store import FleetStore
-from turmericpost.fleet.update_codec import encode_update
 from turmericpost.fleet.update_stream import UpdateServer
 from turmericpost.gateway.broker_service import MAX_REPORT_AGE_S
 from turmericpost.gateway.call_codec import CallCodec
@@ -35,7 +35,7 @@
 from turmericpost.http1.listen_drain import close_listening_port
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.reactor_clock import ReactorClock
-from turmericpost_core.fleet.state import KnownVersions
+from turmericpost_core.fleet.state_lag import StateWay
 from turmericpost_core.grants.visible_share import VisibleShare
 from turmericpost_core.membership.domain_view import (
     DomainView,
@@ -76,7 +76,6 @@
         self._listening_caller_port: Any = None
         self._drain_plan: DrainPlan | None = None
         self._usable_ids: frozenset[str] = frozenset()
-        self._pushed_versions = KnownVersions()
         self._started_s = self.clock.monotonic_s()
         self._visible_share = VisibleShare()
         self._pause_tracker = PauseTracker(self._started_s)
@@ -195,6 +194,9 @@
             ),
         )
 
+        self._state_pusher = StatePusher(
+            self.state, self.peers, self.state_sync.monitor
+        )
         self._peer_discovery = PeerDiscovery(
             self._reactor,
             self.clock,
@@ -261,7 +263,13 @@
         ):
             self._listen(address, self._endpoint_port)
         peer_address = (settings.host, settings.peer_port)
-        self._listen(peer_address, UpdateServer(self.state, self._reactor))
+        monitor = self.state_sync.monitor
+        update_server = UpdateServer(
+            self.state,
+            self._reactor,
+            lambda: monitor.failed(StateWay.SERVE_FETCH, 'exception'),
+        )
+        self._listen(peer_address, update_server)
         self._reactor.listenUDP(
             settings.peer_port,
             self.peers,
@@ -318,22 +326,7 @@
             evacuated=sorted(state.evacuated),
         )
         self._usable_ids = ids
-        self._push_update(source)
-
-    def _push_update(self, source: str) -> None:
-        """Push the changes to the VMs of this failure domain.
-
-        Changes that came from one of these VMs are not pushed, since it has
-        pushed them to all others.
-        """
-        own_domain_vms = self.view.heartbeat_targets(
-            self._settings.failure_domain
-        )
-        if source not in {vm.name for vm in own_domain_vms}:
-            wire = encode_update(self.state.update_since(self._pushed_versions))
-            self.peers.push(wire)
-            self.peers.send_heartbeats()
-        self._pushed_versions = self.state.versions
+        self._state_pusher.push(source)
 
     def _message_received(self, host: str, message: Message) -> None:
         self.call_path.statements.message_received(message)
--- a/packages/turmericpost-entry/tests/fleet/test_update_stream.py
+++ b/packages/turmericpost-entry/tests/fleet/test_update_stream.py
@@ -139,7 +139,10 @@
     def setUp(self) -> None:
         self.reactor = MemoryReactorClock()
         self.state = large_state()
-        self.server = UpdateServer(self.state, self.reactor)
+        self.failures: list[str] = []
+        self.server = UpdateServer(
+            self.state, self.reactor, lambda: self.failures.append('exception')
+        )
 
     def open(self) -> tuple[Any, StringTransportWithDisconnection]:
         protocol = self.server.buildProtocol(None)
@@ -160,6 +163,19 @@
         self.assertEqual(receiver.versions, self.state.versions)
         self.assertFalse(transport.connected)
 
+    # Guards against a VM that counts as busy, and is asked ten times a second,
+    # since it cannot encode its state.
+    def test_stream_is_aborted_if_the_update_cannot_be_encoded(self) -> None:
+        with (
+            patch('turmericpost.fleet.update_stream.encode_update') as encode,
+            patch('turmericpost.fleet.update_stream.log_failure') as logged,
+        ):
+            encode.side_effect = RuntimeError('test')
+            transport = self.request_update()
+        self.assertTrue(transport.disconnected)
+        self.assertEqual(self.failures, ['exception'])
+        logged.assert_called_once()
+
     def test_concurrent_large_updates_are_limited(self) -> None:
         """All VMs of a large domain request the same update at once."""
         full_update_bytes = len(self.server.encoded_update(KnownVersions()))
--- a/packages/turmericpost-entry/tests/soak/faulty_vm.py
+++ b/packages/turmericpost-entry/tests/soak/faulty_vm.py
@@ -13,7 +13,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from turmericpost.fleet import update_stream
+from turmericpost.fleet import state_pusher, update_stream
 from turmericpost.gateway import node as gateway_node
 from turmericpost.platform.process import main
 
@@ -47,7 +47,7 @@
 def _replace_encoder(
     is_broken: Callable[[], bool], broken: Callable[[Any], bytes]
 ) -> None:
-    for module in (update_stream, gateway_node):
+    for module in (update_stream, state_pusher):
         encode_update = module.encode_update
 
         def encode(update: Any, usual: Any = encode_update) -> bytes:
