Read the store on a VM that stays behind what others state

Cause: a VM that hears in each heartbeat that others are newer had one way to their state, the VMs that state it. Its own read of the store, which works, was bound to the role of the reader, and the role to the age of the reader's read. Change: a VM that has been behind for a fifth of the configuration bound, and a share of another tenth by the hash of its name, reads that part of the state itself, with the pauses of all reads after a failure. A read covers what was stated before it began (the store is linearizable), so it is not repeated for versions that others count differently or that the store does not have. Ruled out: the number of fetches or their time-outs, since each way of a peer can fail for good; more readers a domain, since each may have the fault.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state_lag.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state_lag.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self.failures: Counter[tuple[StateWay, str]] = Counter()
         self._missing: deque[StatedVersion] = deque()
+        self._covered: Any = None
 
     @property
     def newest(self) -> StatedVersion | None:
@@ -76,6 +77,8 @@
         newest = self.newest
         if newest is not None and stated.version <= newest.version:
             return
+        if self._covered is not None and stated.version <= self._covered:
+            return
         if not self._missing:
             self.failures.clear()
         self._missing.append(stated)
@@ -94,7 +97,7 @@
         began is part of it, also if the VMs count its version differently.
         """
         while self._missing and self._missing[0].stated_s <= begun_s:
-            self._missing.popleft()
+            self._covered = self._missing.popleft().version
 
 
 class StateLag:
--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
@@ -5,6 +5,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from xxhash import xxh32_intdigest
+
+_HASH_RANGE = 0x100000000
+
 
 @dataclass(frozen=True)
 class ReadSchedule:
@@ -14,13 +18,15 @@
     a drain must take effect on every VM. ``watch_wait_s`` is the time for
     which a read waits for records of the operator; it follows from the time
     within which a configuration must be in force, as does ``behind_after_s``,
-    the time without newer state after which a VM counts as behind.
+    the time without newer state after which a VM counts as behind. It then reads
+    the store itself, after another ``spread_s`` seconds at most.
     """
 
     period_s: float
     stale_after_s: float
     watch_wait_s: float
     behind_after_s: float
+    spread_s: float
 
 
 PERIOD_SHARE = 0.3
@@ -51,6 +57,11 @@
 the configuration bound. Updates from other VMs take a tenth of it at most.
 """
 
+SPREAD_SHARE = 0.1
+"""Time over which the reads of VMs that are behind are spread, as a share of
+the configuration bound.
+"""
+
 MAX_RETRY_PAUSE_S = 2.0
 """Maximum pause after failed reads.
 
@@ -67,6 +78,7 @@
         stale_after_s=STALE_SHARE * drain_bound_s,
         watch_wait_s=WATCH_WAIT_SHARE * config_bound_s,
         behind_after_s=BEHIND_SHARE * config_bound_s,
+        spread_s=SPREAD_SHARE * config_bound_s,
     )
 
 
@@ -91,6 +103,19 @@
     return True
 
 
+def catch_up_read_at_s(
+    behind_since_s: float, name: str, schedule: ReadSchedule
+) -> float:
+    """Return when a VM that is behind reads the store itself.
+
+    Until then, it waits for updates from other VMs. The times of the VMs differ
+    by the hash of their names.
+    """
+    share = xxh32_intdigest(name.encode('utf-8')) / _HASH_RANGE
+    delay_s = schedule.behind_after_s + share * schedule.spread_s
+    return behind_since_s + delay_s
+
+
 def retry_pause_s(failures: int, schedule: ReadSchedule) -> float:
     """Return the pause in seconds after a number of consecutive failures."""
     return min(schedule.period_s * 2 ** max(failures - 2, 0), MAX_RETRY_PAUSE_S)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -20,11 +20,13 @@
 )
 from turmericpost_core.fleet.state_lag import (
     MISMATCH,
+    StatePart,
     StateWay,
 )
 from turmericpost_core.membership.domain_view import DomainView, Vm
 from turmericpost_core.membership.store_read_schedule import (
     ReadSchedule,
+    catch_up_read_at_s,
     is_reader,
 )
 
@@ -77,6 +79,7 @@
             schedule,
             ReaderCallbacks(
                 self.is_reader,
+                self._must_catch_up,
                 self._state_changed,
                 self.monitor.store_read,
             ),
@@ -181,6 +184,16 @@
     def _fetch_failed(self, vm: Vm, cause: str, detail: str) -> None:
         self.monitor.failed(StateWay.FETCH, cause, vm=vm.name, detail=detail)
 
+    def _must_catch_up(self, part: StatePart) -> bool:
+        """Return whether this VM should read a part that others have newer."""
+        since_s = self.monitor.lag.part(part).since_s
+        if since_s is None:
+            return False
+        read_at_s = catch_up_read_at_s(
+            since_s, self._view.own.name, self._schedule
+        )
+        return self._clock.monotonic_s() >= read_at_s
+
     def _is_newer(self, state_version: StateVersion) -> bool:
         state = self.state
         if state_version.operator_offset > state.operator_offset:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -1,6 +1,7 @@
 """Reads registry and operator records from the store as they are written.
 
-Usually one VM of each failure domain does so; see ``is_reader``.
+Usually one VM of each failure domain does so; see ``is_reader``. Another one
+does while it is behind and gets no updates.
 """
 
 from __future__ import annotations
@@ -39,12 +40,14 @@
 class ReaderCallbacks:
     """Callbacks of the store reader.
 
-    ``is_reader`` returns whether this VM should read now. ``changed`` is
+    ``is_reader`` returns whether this VM should read now, ``must_catch_up``
+    whether it should read one part of the state otherwise. ``changed`` is
     called with ``registry`` or ``operator`` after that part of the state has
     changed, ``was_read`` after each read with the time when it began.
     """
 
     is_reader: Callable[[], bool]
+    must_catch_up: Callable[[StatePart], bool]
     changed: Callable[[str], None]
     was_read: Callable[[StatePart, float], None]
 
@@ -94,7 +97,8 @@
 
     async def _follow_backends(self) -> None:
         while self._is_running:
-            if self._update_reader_role():
+            must_read = self._callbacks.must_catch_up(StatePart.REGISTRY)
+            if self._update_reader_role() or must_read:
                 await self._read_backends()
                 pause_s = self._schedule.period_s
                 if self._failures:
@@ -106,7 +110,8 @@
     async def _follow_operator(self) -> None:
         while self._is_running:
             pause_s = _IDLE_CHECK_S
-            if self._callbacks.is_reader():
+            must_read = self._callbacks.must_catch_up(StatePart.OPERATOR)
+            if self._callbacks.is_reader() or must_read:
                 pause_s = await self._read_operator()
             if pause_s:
                 await self._sleep(pause_s)
--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -19,17 +19,24 @@
 from turmericpost_core.membership.domain_view import (
     DomainView,
     Vm,
+    VmReadiness,
 )
+from turmericpost_core.membership.ring import rendezvous_owners
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
 DRAIN_BOUND_S = 2.0
 CONFIG_BOUND_S = 2.0
+_STEP_S = 0.05
 
 
 def vm(name: str, domain: str = 'nasr') -> Vm:
     return Vm(name, name, 7540, '', domain, 'cairo', 1)
 
 
+def _is_before(name: str, other: str) -> bool:
+    return rendezvous_owners('store-reader', (name, other), 1) == (name,)
+
+
 class StateSyncTest(unittest.TestCase):
     def setUp(self) -> None:
         self.reactor = MemoryReactorClock()
@@ -94,6 +101,48 @@
         )
         self.assertEqual(len(self.reactor.tcpClients), 1)
 
+    # Guards against a VM that hears that others are newer, gets no update, and
+    # waits for good although it reaches the store.
+    def test_vm_that_stays_behind_reads_the_store_itself(self) -> None:
+        store = self.state_sync.reader._store
+        self._hear_fresh_reader()
+        self.state_sync.reader.start()
+        self.reactor.advance(1)
+        self.assertEqual(store.calls.total(), 0)
+        store.write('smouha')
+        self._hear_fresh_reader(operator_offset=1)
+        self._run(CONFIG_BOUND_S / 2)
+        self.assertEqual(self.state_sync.state.evacuated, {'smouha'})
+        self.assertEqual(store.calls['list-backends'], 0)
+
+    # Guards against reads of the store that go on although this VM has all that
+    # was read there before.
+    def test_version_that_the_store_does_not_have_is_read_once(self) -> None:
+        store = self.state_sync.reader._store
+        self._hear_fresh_reader()
+        self.state_sync.reader.start()
+        for _ in range(20):
+            self._hear_fresh_reader(operator_offset=9)
+            self._run(CONFIG_BOUND_S / 4)
+        calls = store.calls['list-operator'] + store.calls['watch-operator']
+        self.assertEqual(calls, 1)
+
+    def _hear_fresh_reader(self, operator_offset: int = 0) -> None:
+        """Let the first VM by rank state a read that is not stale."""
+        view = self.state_sync._view
+        names = (f'near{number}' for number in range(9))
+        first = next(name for name in names if _is_before(name, 'own'))
+        now_s = self.reactor.seconds()
+        view.record_heartbeat(vm(first), VmReadiness.READY, now_s)
+        view.update_liveness(now_s)
+        self.state_sync.state_version_received(
+            vm(first), StateVersion(0, operator_offset, (0, 0), 0)
+        )
+
+    def _run(self, seconds: float) -> None:
+        for _ in range(int(seconds / _STEP_S)):
+            self.reactor.advance(_STEP_S)
+
     def _newer_version(self) -> StateVersion:
         return StateVersion(0, 7, (9, 0), 9)
 
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -130,7 +130,10 @@
             self.state,
             self.schedule,
             ReaderCallbacks(
-                lambda: True, self.changes.append, lambda _part, _begun_s: None
+                lambda: True,
+                lambda _part: False,
+                self.changes.append,
+                lambda _part, _begun_s: None,
             ),
         )
 
