Refuse no route for good while other VMs have a newer configuration

Cause: a VM answered from what it had, although it knew that it was old. Change: while a VM knows of a newer configuration, a call without a route gets 503 state-behind, not run, with Retry-After of the time after which the VM reads for itself. Weighed: waiting for it holds the caller without a bound on the end; passing the call on needs a VM that is known to have the route, and a second hop. Known routes are served: which ones changed is not known, and refusing all costs more callers than the old service. Behind for longer than the configuration bound, the VM is not ready and out of address answers, if at least half of its failure domain is not behind; so one VM with a wrong version takes no other one out.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state_lag.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state_lag.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -121,3 +122,19 @@
         for part_lag in self._parts.values():
             if part_lag.newest is not None:
                 part_lag.failures[way, cause] += 1
+
+
+def is_outdated(
+    lag: PartLag, peer_versions: Collection[Any], now_s: float, bound_s: float
+) -> bool:
+    """Return whether this VM should leave new callers to others.
+
+    It should if it has been behind for longer than ``bound_s`` and at least
+    half of the VMs of its failure domain, whose versions are given, are not
+    behind. So a single VM that states a wrong version takes no other one out.
+    """
+    newest = lag.newest
+    if newest is None or lag.age_s(now_s) <= bound_s:
+        return False
+    current = sum(version >= newest.version for version in peer_versions)
+    return bool(current) and 2 * current >= len(peer_versions)
--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
@@ -19,7 +19,8 @@
     which a read waits for records of the operator; it follows from the time
     within which a configuration must be in force, as does ``behind_after_s``,
     the time without newer state after which a VM counts as behind. It then reads
-    the store itself, after another ``spread_s`` seconds at most.
+    the store itself, after another ``spread_s`` seconds at most. A VM that lacks
+    a configuration for ``outdated_after_s`` may not accept new callers.
     """
 
     period_s: float
@@ -27,6 +28,7 @@
     watch_wait_s: float
     behind_after_s: float
     spread_s: float
+    outdated_after_s: float
 
 
 PERIOD_SHARE = 0.3
@@ -79,6 +81,7 @@
         watch_wait_s=WATCH_WAIT_SHARE * config_bound_s,
         behind_after_s=BEHIND_SHARE * config_bound_s,
         spread_s=SPREAD_SHARE * config_bound_s,
+        outdated_after_s=config_bound_s,
     )
 
 
--- a/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
@@ -16,7 +16,8 @@
 class RefusalReason(Enum):
     """Why a call ends without the response of a backend server.
 
-    ``TOO_DEEP`` means that the call has already passed too many VMs.
+    ``TOO_DEEP`` means that the call has already passed too many VMs,
+    ``STATE_BEHIND`` that its route may be in a configuration that other VMs have.
     """
 
     MALFORMED_REQUEST = 'malformed-request'
@@ -26,6 +27,7 @@
     UPGRADE_UNSUPPORTED = 'upgrade-unsupported'
     TOO_DEEP = 'too-deep'
     NOT_READY = 'not-ready'
+    STATE_BEHIND = 'state-behind'
     UNKNOWN_SERVICE = 'unknown-service'
     UNKNOWN_ACCOUNT = 'unknown-account'
     OUTSIDE_HOME_REGIONS = 'outside-home-regions'
--- a/packages/turmericpost-core/tests/fleet/test_state_lag.py
+++ b/packages/turmericpost-core/tests/fleet/test_state_lag.py
@@ -14,6 +14,7 @@
     StateLag,
     StatePart,
     StateWay,
+    is_outdated,
 )
 
 
@@ -70,5 +71,30 @@
         self.assertEqual(state_lag.failures.total(), 2)
 
 
+class OutdatedTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.part_lag = PartLag()
+
+    def _is_outdated(self, *peer_versions: int, now_s: float = 3) -> bool:
+        return is_outdated(self.part_lag, peer_versions, now_s, 2)
+
+    def test_vm_that_is_behind_for_too_long_is_outdated(self) -> None:
+        self.assertFalse(self._is_outdated(5, 5))
+        self.part_lag.record_statement(StatedVersion(5, 'vm1', 0))
+        self.assertTrue(self._is_outdated(5, 5))
+        self.assertTrue(self._is_outdated(5, 4))
+        self.assertFalse(self._is_outdated(5, 5, now_s=1))
+        self.part_lag.record_own(5)
+        self.assertFalse(self._is_outdated(5, 5))
+
+    # Guards against one VM that states a wrong version and so takes all others
+    # out of the addresses for callers.
+    def test_one_vm_with_a_newer_version_takes_no_other_one_out(self) -> None:
+        self.part_lag.record_statement(StatedVersion(5, 'vm1', 0))
+        self.assertFalse(self._is_outdated(5, 4, 4))
+        self.assertFalse(self._is_outdated(4, 4))
+        self.assertFalse(self._is_outdated())
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -22,6 +22,7 @@
     MISMATCH,
     StatePart,
     StateWay,
+    is_outdated,
 )
 from turmericpost_core.membership.domain_view import DomainView, Vm
 from turmericpost_core.membership.store_read_schedule import (
@@ -101,6 +102,7 @@
         self._may_read_from_s = clock.monotonic_s() + delay_s
         self._read_ages_s: dict[str, tuple[float, float]] = {}
         self._newer_since_s: dict[str, float] = {}
+        self._operator_offsets: dict[str, int] = {}
 
     def state_version(self) -> StateVersion:
         """Return the version of this VM's state for heartbeats."""
@@ -143,6 +145,7 @@
         is_same_domain = vm.failure_domain == self._view.own.failure_domain
         if is_same_domain:
             self._read_ages_s[vm.name] = (state_version.read_age_s, now_s)
+            self._operator_offsets[vm.name] = state_version.operator_offset
         if not self._is_newer(state_version):
             self._newer_since_s.pop(vm.failure_domain, None)
             self._advance_offset(state_version)
@@ -176,6 +179,25 @@
         for name in names:
             self._read_ages_s.pop(name, None)
             self._fetched_versions.pop(name, None)
+            self._operator_offsets.pop(name, None)
+
+    def retry_after_behind_s(self) -> float | None:
+        """Return when a call whose route is unknown here should be retried.
+
+        ``None`` if no other VM is known to have a newer configuration.
+        """
+        if self.monitor.lag.part(StatePart.OPERATOR).newest is None:
+            return None
+        return self._schedule.behind_after_s
+
+    def is_outdated(self) -> bool:
+        """Return whether the configuration is too old for new callers."""
+        return is_outdated(
+            self.monitor.lag.part(StatePart.OPERATOR),
+            self._operator_offsets.values(),
+            self._clock.monotonic_s(),
+            self._schedule.outdated_after_s,
+        )
 
     def _state_changed(self, source: str) -> None:
         self.monitor.state_changed(source)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -46,6 +46,8 @@
     """Starts calls, provides their permits, and records and logs their end.
 
     New calls are refused as not ready while ``refuses_calls`` returns true.
+    ``retry_after_behind_s`` returns when calls without a known route should be
+    retried, ``None`` if no other VM is known to have a newer configuration.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.reactor = reactor
         self.in_flight: set[GatewayCall] = set()
         self.refuses_calls: Callable[[], bool] = _never
+        self.retry_after_behind_s: Callable[[], float | None] = _not_behind
         self._has_ended_waiting = False
         self._state = state
         self._permit_client = permit_client
@@ -189,14 +192,24 @@
     def _route(self, exchange: Exchange, head: CallHead) -> None:
         route = self._state.routes.find(head.host, head.path)
         if route is None:
-            unknown = Refusal(RefusalReason.UNKNOWN_SERVICE)
-            self._refuse(exchange, head, unknown)
+            self._refuse(exchange, head, self._no_route())
             return
         call = GatewayCall(self, exchange, self._new_call_context(head, route))
         self._metrics.calls_started += 1
         self.in_flight.add(call)
         call.begin()
 
+    def _no_route(self) -> Refusal:
+        """Return the refusal of a call whose route is not known here.
+
+        Callers do not come back after the status of an unknown service, so it
+        is not given while others may know the route.
+        """
+        retry_after_s = self.retry_after_behind_s()
+        if retry_after_s is None:
+            return Refusal(RefusalReason.UNKNOWN_SERVICE)
+        return Refusal(RefusalReason.STATE_BEHIND, retry_after_s)
+
     def _new_call_context(
         self, head: CallHead, route: OperatorRoute
     ) -> CallContext:
@@ -263,3 +276,7 @@
 
 def _never() -> bool:
     return False
+
+
+def _not_behind() -> None:
+    """No other VM is known to have a newer configuration."""
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -85,8 +85,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the VM has a configuration and is not draining."""
-        return self._drain_plan is None and self.state.config is not None
+        """Whether the VM has a configuration in time and is not draining."""
+        return self.view.own_readiness is VmReadiness.READY
 
     def start(self) -> Result[None, CannotListenError]:
         """Open the ports and start to follow the store and the peers."""
@@ -223,6 +223,7 @@
         broker.is_settling = self._pause_tracker.is_settling
         self.ingress = call_path.ingress
         self.ingress.refuses_calls = self._refuses_calls
+        self.ingress.retry_after_behind_s = self.state_sync.retry_after_behind_s
         self._caller_port = new_caller_port(
             settings.callers,
             self.ingress.begin,
@@ -307,9 +308,7 @@
                 self._settings.callers,
                 config.limits,
             )
-            if self.view.own_readiness is VmReadiness.STARTING:
-                self.view.own_readiness = VmReadiness.READY
-                log_event(LogEvent.READY, config=config.version)
+        self._update_readiness()
         backends = state.usable_backends()
         self.call_path.broker_service.broker.install_backends(backends, now_s)
         ids = frozenset(backend.backend_id for backend in backends)
@@ -328,6 +327,23 @@
         self._usable_ids = ids
         self._state_pusher.push(source)
 
+    def _update_readiness(self) -> None:
+        """State whether the VM accepts new callers, unless it is leaving."""
+        before = self.view.own_readiness
+        if before is VmReadiness.LEAVING:
+            return
+        config = self.state.config
+        is_accepting = config is not None and not self.state_sync.is_outdated()
+        after = VmReadiness.READY if is_accepting else VmReadiness.STARTING
+        if after is before:
+            return
+        self.view.own_readiness = after
+        version = None if config is None else config.version
+        log_event(
+            LogEvent.READY if is_accepting else LogEvent.NOT_READY,
+            config=version,
+        )
+
     def _message_received(self, host: str, message: Message) -> None:
         self.call_path.statements.message_received(message)
         self.call_path.broker_service.message_received(host, message)
@@ -353,6 +369,7 @@
         self.call_path.backend_status_log.log_changes()
         self.ingress.log_dropped_lines()
         self.state_sync.monitor.report()
+        self._update_readiness()
         if self.state.directory.withhold(now_s):
             self._state_changed('withheld')
 
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -44,6 +44,11 @@
             'some may be reset while the caller port closes'
         ),
     )
+    NOT_READY = (
+        1010,
+        Level.WARNING,
+        'the VM leaves new callers to others: its configuration is too old',
+    )
     REVISION_IN_FORCE = (2001, Level.INFO, 'a revision is in force')
     CHANGE_REFUSED = (2002, Level.WARNING, 'a published change was refused')
     RECORD_MALFORMED = (
