Let a VM that lacked updates read on for its failure domain

Cause: who reads follows from the age of the reader's read alone. Change: CatchUp (core, pure): a VM that had to read for itself stays a reader for 10 s and hands on what it reads, unless it could not hand on its own state in that time; then it reads for itself only. The spread by name lets one VM mostly do so before the others have to. Tests: test_vm_that_lacked_updates_reads_on_for_its_domain failed before; test_version_that_the_store_does_not_have_ends_the_reads replaces the one that counted a single read: the VM may read on for 10 s now, and must then be silent while others state the version; it fails without the bound. test_vm_that_stays_behind_reads_the_store_itself no longer demands that the other part is not read, which follows from reading on.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
@@ -5,10 +5,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from xxhash import xxh32_intdigest
-
-_HASH_RANGE = 0x100000000
-
 
 @dataclass(frozen=True)
 class ReadSchedule:
@@ -106,19 +102,6 @@
     return True
 
 
-def catch_up_read_at_s(
-    behind_since_s: float, name: str, schedule: ReadSchedule
-) -> float:
-    """Return when a VM that is behind reads the store itself.
-
-    Until then, it waits for updates from other VMs. The times of the VMs differ
-    by the hash of their names.
-    """
-    share = xxh32_intdigest(name.encode('utf-8')) / _HASH_RANGE
-    delay_s = schedule.behind_after_s + share * schedule.spread_s
-    return behind_since_s + delay_s
-
-
 def retry_pause_s(failures: int, schedule: ReadSchedule) -> float:
     """Return the pause in seconds after a number of consecutive failures."""
     return min(schedule.period_s * 2 ** max(failures - 2, 0), MAX_RETRY_PAUSE_S)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +31,9 @@
 """
 
 
+_HAND_ON_WAYS = frozenset((StateWay.SEND_PUSH, StateWay.SERVE_FETCH))
+
+
 class LagMonitor:
     """Compares the versions that other VMs state with those of this VM.
 
@@ -39,12 +42,17 @@
     """
 
     def __init__(
-        self, clock: Clock, state: FleetState, report_after_s: float
+        self,
+        clock: Clock,
+        state: FleetState,
+        report_after_s: float,
+        hand_on_failed: Callable[[float], None],
     ) -> None:
         self.lag = StateLag()
         self._clock = clock
         self._state = state
         self._report_after_s = report_after_s
+        self._hand_on_failed = hand_on_failed
         self._source = ''
         self._reports: dict[StatePart, _Report] = {}
         self._logged_failures = RepeatedFailures(clock.monotonic_s)
@@ -78,6 +86,8 @@
         A push that does not match the state follows a lost datagram.
         """
         self.lag.record_failure(way, cause)
+        if way in _HAND_ON_WAYS:
+            self._hand_on_failed(self._clock.monotonic_s())
         is_lost_push = way is StateWay.PUSH and cause == MISMATCH
         if is_lost_push or cause in _UNLOGGED:
             return
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -24,10 +24,10 @@
     StateWay,
     is_outdated,
 )
+from turmericpost_core.membership.catch_up import CatchUp
 from turmericpost_core.membership.domain_view import DomainView, Vm
 from turmericpost_core.membership.store_read_schedule import (
     ReadSchedule,
-    catch_up_read_at_s,
     is_reader,
 )
 
@@ -71,7 +71,13 @@
         is_seed_vm: bool = True,
     ) -> None:
         self.state = FleetState()
-        self.monitor = LagMonitor(clock, self.state, schedule.behind_after_s)
+        self._catch_up = CatchUp(view.own.name, schedule)
+        self.monitor = LagMonitor(
+            clock,
+            self.state,
+            schedule.behind_after_s,
+            self._catch_up.hand_on_failed,
+        )
         self.reader = StoreReader(
             reactor,
             clock,
@@ -118,11 +124,13 @@
         """Return whether this VM should read the store now.
 
         A VM that has just started waits for state from others first, unless
-        it is a seed VM.
+        it is a seed VM. One that lacked updates of the reader reads, too.
         """
         now_s = self._clock.monotonic_s()
         if self.state.config is None and now_s < self._may_read_from_s:
             return False
+        if self._catch_up.reads_on(now_s):
+            return True
         own = self._view.own
         ranked = self._view.ranked(_READER_SUBJECT, own.failure_domain, now_s)
         ages_s = {
@@ -208,13 +216,9 @@
 
     def _must_catch_up(self, part: StatePart) -> bool:
         """Return whether this VM should read a part that others have newer."""
-        since_s = self.monitor.lag.part(part).since_s
-        if since_s is None:
-            return False
-        read_at_s = catch_up_read_at_s(
-            since_s, self._view.own.name, self._schedule
+        return self._catch_up.must_read(
+            self.monitor.lag.part(part).since_s, self._clock.monotonic_s()
         )
-        return self._clock.monotonic_s() >= read_at_s
 
     def _is_newer(self, state_version: StateVersion) -> bool:
         state = self.state
--- a/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
+++ b/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
@@ -28,7 +28,10 @@
         self.reactor = Clock()
         self.state = FleetState()
         self.monitor = LagMonitor(
-            FakeClock(self.reactor), self.state, REPORT_AFTER_S
+            FakeClock(self.reactor),
+            self.state,
+            REPORT_AFTER_S,
+            lambda _now_s: None,
         )
         self.newer = large_state()
         logging = patch('turmericpost.fleet.lag_monitor.log_event')
--- a/packages/turmericpost-entry/tests/fleet/test_state_pusher.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_pusher.py
@@ -24,7 +24,9 @@
         self.view = DomainView(vm('own'))
         self.view.add_known_vms((vm('near'),), 0)
         self.peers = Mock(view=self.view)
-        self.monitor = LagMonitor(FakeClock(Clock()), state, 1)
+        self.monitor = LagMonitor(
+            FakeClock(Clock()), state, 1, lambda _now_s: None
+        )
         self.pusher = StatePusher(state, self.peers, self.monitor)
 
     def test_changes_of_the_own_domain_are_not_pushed_on(self) -> None:
--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -16,6 +16,7 @@
 from turmericpost.observe.events import LogEvent
 from turmericpost_core.fleet.backends import Registration
 from turmericpost_core.fleet.state import KnownVersions
+from turmericpost_core.membership.catch_up import TAKEOVER_S
 from turmericpost_core.membership.domain_view import (
     DomainView,
     Vm,
@@ -113,19 +114,38 @@
         self._hear_fresh_reader(operator_offset=1)
         self._run(CONFIG_BOUND_S / 2)
         self.assertEqual(self.state_sync.state.evacuated, {'smouha'})
-        self.assertEqual(store.calls['list-backends'], 0)
+
+    # Guards against a domain that falls behind with each version, since its
+    # reader reads but cannot hand on what it reads.
+    def test_vm_that_lacked_updates_reads_on_for_its_domain(self) -> None:
+        self._hear_fresh_reader()
+        self.state_sync.reader.start()
+        self.assertFalse(self.state_sync.is_reader())
+        self._hear_fresh_reader(operator_offset=1)
+        self._run(CONFIG_BOUND_S / 2)
+        self._hear_fresh_reader()
+        self.assertTrue(self.state_sync.is_reader())
+        self._run(TAKEOVER_S)
+        self._hear_fresh_reader()
+        self.assertFalse(self.state_sync.is_reader())
 
     # Guards against reads of the store that go on although this VM has all that
     # was read there before.
-    def test_version_that_the_store_does_not_have_is_read_once(self) -> None:
+    def test_version_that_the_store_does_not_have_ends_the_reads(self) -> None:
         store = self.state_sync.reader._store
         self._hear_fresh_reader()
         self.state_sync.reader.start()
-        for _ in range(20):
+        self._hear_again_and_again()
+        before = store.calls.copy()
+        self._hear_again_and_again()
+        self.assertEqual(store.calls, before)
+        self.assertEqual(store.calls['list-operator'], 1)
+
+    def _hear_again_and_again(self) -> None:
+        """Hear of a newer version for longer than a takeover lasts."""
+        for _ in range(int(2 * TAKEOVER_S)):
             self._hear_fresh_reader(operator_offset=9)
-            self._run(CONFIG_BOUND_S / 4)
-        calls = store.calls['list-operator'] + store.calls['watch-operator']
-        self.assertEqual(calls, 1)
+            self._run(1)
 
     def _hear_fresh_reader(self, operator_offset: int = 0) -> None:
         """Let the first VM by rank state a read that is not stale."""
