Forget failed reads of a VM that has not read for a while

Callers would see: requests at servers that had left, up to 2.5 s late. Cause: the number of failed reads stayed when a VM gave up reading because another one read. Its next read, minutes later, counted as the end of an outage and began the grace time in which removed entries are kept. Found by reading, while reads of VMs that are behind were added, which make it likelier. Change: a VM that does not read forgets failures older than the longest pause and the grace time together; a recent one is still an outage. Evidence: test_old_failure_is_no_outage_for_a_later_read failed before, test_recent_failure_is_an_outage_for_a_later_read holds before and after.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -22,9 +22,11 @@
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.clock import Clock
+from turmericpost_core.fleet.directory import REREGISTRATION_GRACE_S
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.fleet.state_lag import StatePart
 from turmericpost_core.membership.store_read_schedule import (
+    MAX_RETRY_PAUSE_S,
     ReadSchedule,
     retry_pause_s,
 )
@@ -76,6 +78,7 @@
         self._schedule = schedule
         self._callbacks = callbacks
         self._failures = 0
+        self._failed_s = float('-inf')
         self._operator_failures = 0
         self._needs_backend_listing = False
         self._needs_operator_listing = False
@@ -105,6 +108,7 @@
                     pause_s = retry_pause_s(self._failures, self._schedule)
                 await self._sleep(pause_s)
             else:
+                self._forget_old_failures()
                 await self._sleep(_IDLE_CHECK_S)
 
     async def _follow_operator(self) -> None:
@@ -223,6 +227,7 @@
             log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
             return
         self._failures += 1
+        self._failed_s = self._clock.monotonic_s()
         if self._failures == 1:
             log_event(
                 LogEvent.STORE_UNREACHABLE,
@@ -230,6 +235,18 @@
                 detail=error.detail,
             )
 
+    def _forget_old_failures(self) -> None:
+        """Forget failed reads of a VM that has not had to read since.
+
+        Others have read meanwhile, so a later read does not end an outage.
+        """
+        age_s = self._clock.monotonic_s() - self._failed_s
+        if (
+            self._failures
+            and age_s > MAX_RETRY_PAUSE_S + REREGISTRATION_GRACE_S
+        ):
+            self._failures = 0
+
     def _backend_read_succeeded(self) -> None:
         """Reset the failure count after a successful read.
 
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -5,7 +5,7 @@
 import unittest
 from collections import Counter
 from collections.abc import Mapping
-from unittest.mock import patch
+from unittest.mock import AsyncMock, patch
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
@@ -122,6 +122,7 @@
         self.store = FakeStore()
         self.state = FleetState()
         self.changes: list[str] = []
+        self.is_reader = True
         self.schedule = new_read_schedule(DRAIN_BOUND_S, CONFIG_BOUND_S)
         self.reader = StoreReader(
             self.reactor,
@@ -130,7 +131,7 @@
             self.state,
             self.schedule,
             ReaderCallbacks(
-                lambda: True,
+                lambda: self.is_reader,
                 lambda _part: False,
                 self.changes.append,
                 lambda _part, _begun_s: None,
@@ -159,6 +160,34 @@
         calls += self.store.calls['read-backends']
         self.assertAlmostEqual(calls, expected_count, delta=1)
 
+    # Guards against a VM that keeps servers whose entries are removed, since a
+    # read that failed long ago, while another VM read, counts as an outage.
+    def test_old_failure_is_no_outage_for_a_later_read(self) -> None:
+        self.assertFalse(self._starts_grace_after(WAIT_S))
+
+    def test_recent_failure_is_an_outage_for_a_later_read(self) -> None:
+        self.assertTrue(self._starts_grace_after(1))
+
+    def _starts_grace_after(self, pause_s: float) -> bool:
+        """Return whether a read after a failed one and a pause starts it."""
+        directory = self.state.directory
+        with patch.object(directory, 'start_reregistration_grace') as grace:
+            self._fail_one_read()
+            self.advance_time(pause_s)
+            self.is_reader = True
+            self.advance_time(WAIT_S)
+        return bool(grace.called)
+
+    def _fail_one_read(self) -> None:
+        error = StoreError(StoreErrorKind.NO_RESPONSE, 'test')
+        failing = patch.object(
+            self.store, 'list_backends', AsyncMock(return_value=Err(error))
+        )
+        with failing:
+            self.reader.start()
+            self.is_reader = False
+            self.advance_time(self.schedule.period_s)
+
     # Guards against logs that fill up, and memory that does, since another
     # writer leaves ever more invalid records.
     def test_lines_about_invalid_records_are_bounded(self) -> None:
