--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -8,7 +8,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from tests.fleet.test_store_reader import FakeStore
-from tests.fleet.test_update_stream import large_state
+from tests.fleet.test_update_stream import large_state, server
 from tests.harness import FakeClock
 from turmericpost.fleet.messages import StateVersion
 from turmericpost.fleet.state_sync import (
@@ -19,6 +19,10 @@
 from turmericpost.fleet.update_codec import encode_update
 from turmericpost.observe.events import LogEvent
 from turmericpost_core.fleet.backends import Registration
+from turmericpost_core.fleet.directory import (
+    REREGISTRATION_GRACE_S,
+    BackendDirectory,
+)
 from turmericpost_core.fleet.state import KnownVersions
 from turmericpost_core.membership.catch_up import TAKEOVER_S
 from turmericpost_core.membership.domain_view import (
@@ -113,6 +117,30 @@
         self.reactor.advance(OTHER_DOMAIN_DELAY_S)
         self.assertEqual(self.reactor.tcpClients, [])
 
+    # Guards against a server that is gone, but used for good: a VM that listed
+    # the registry anew has it without that server, under the same version.
+    def test_removal_holds_if_a_peer_has_another_registry_of_its_version(
+        self,
+    ) -> None:
+        directory = self.state_sync.state.directory
+        directory.apply_records([Registration(0, 'i-0', server(0))], 0)
+        directory.start_reregistration_grace(0)
+        directory.apply_records(
+            [Registration(1, 'i-0', None), Registration(2, 'i-1', server(1))], 0
+        )
+        listed = BackendDirectory()
+        listed.resync([Registration(2, 'i-1', server(1))], 3, 0)
+        self.assertEqual(listed.version, directory.version)
+        self.state_sync.state_version_received(
+            vm('far', 'smouha'),
+            StateVersion(0, 0, listed.version, listed.resume_offset),
+        )
+        self.state_sync.reader.start()
+        self._run(2 * REREGISTRATION_GRACE_S)
+        directory.withhold(self.reactor.seconds())
+        usable = self.state_sync.state.usable_backends()
+        self.assertEqual([one.backend_id for one in usable], ['i-1'])
+
     def test_state_that_came_otherwise_is_not_fetched_after_the_delay(
         self,
     ) -> None:
