Count a VM that has read a record without an effect as current

Callers would see: 503 state-behind for unknown routes for up to a second, and reads of the store that are not needed. Cause: a VM that had heard of a newer version and then read it itself noted the end of its lag only with a change of its state. A record that changes nothing, such as one that is invalid, left the lag until the next own read. Change: each statement of another VM compares with the own version first. Evidence: test_record_that_changes_nothing_ends_a_lag failed before. Found by reading the diff; no run showed it.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
@@ -65,8 +65,10 @@
             StatePart.REGISTRY: stated.backends,
         }
         for part, own_version in self._own_versions().items():
+            part_lag = self.lag.part(part)
+            part_lag.record_own(own_version)
             if versions[part] > own_version:
-                self.lag.part(part).record_statement(
+                part_lag.record_statement(
                     StatedVersion(versions[part], vm_name, now_s)
                 )
 
--- a/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
+++ b/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
@@ -79,6 +79,15 @@
         self.assertEqual(last.args, (LogEvent.STATE_CAUGHT_UP,))
         self.assertEqual(last.kwargs['source'], 'vm2')
 
+    # Guards against a VM that counts as behind although it has read the last
+    # record, which changed nothing.
+    def test_record_that_changes_nothing_ends_a_lag(self) -> None:
+        stated = StateVersion(0, 1, (0, 0), 0)
+        self.monitor.version_stated('vm1', stated)
+        self.state.apply_operator_records((), 1)
+        self.monitor.version_stated('vm1', stated)
+        self.assertIsNone(self.monitor.lag.part(StatePart.OPERATOR).newest)
+
     # Guards against a line for each of thousands of failed fetches.
     def test_failure_is_logged_once_and_counted(self) -> None:
         for _ in range(100):
