Tell an observer what a broker grants, and which servers it finds cold

Cause: in an incident, cold servers got more requests a second than they bear, summed over all VMs. Logs and counters did not tell which VM had granted them, by which right and share, or whether it believed them warm.

Change: Broker.observer is told of each new grant with the limits in force (GrantTerms), and of a cold report of a server that was not under the cold limit. The condition of that limit and its least rate get names of their own (may_be_cold, cold_attempts_in_s) so that lines and decisions use the same ones; no decision changes.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -19,6 +19,7 @@
     MIN_PROBE_INTERVAL_S,
     OTHER_LOAD_VALIDITY_S,
     WARM_REPORT_VALIDITY_S,
+    cold_attempts_in_s,
     usable_slots,
 )
 from turmericpost_core.grants.permits import AttemptOutcome, ReportedLoad
@@ -26,6 +27,7 @@
 
 _NEVER_S = float('-inf')
 _RATE_WINDOW_S = 1.1
+_COUNTED_S = 1.0
 _PERCENT = 100.0
 _MAX_DOUBLINGS = 5
 _MAX_REJECTION_DOUBLINGS = 6
@@ -79,6 +81,7 @@
         self.closed_until_s = _NEVER_S
         self._cold_until_s = now_s + backend.cold_left_s
         self._reported_warm_s = _NEVER_S
+        self._attempts_until_warm_report = 0
         self._other_load = 0
         self._recent_attempts_s: deque[float] = deque()
         self._failures = 0
@@ -159,14 +162,35 @@
         The limit applies to a cold server, and to one that reports its load
         but has not recently reported to be warm.
         """
-        if not self.is_cold(now_s):
-            if (
-                not self.reports_load
-                or now_s - self._reported_warm_s < WARM_REPORT_VALIDITY_S
-            ):
-                return True
+        if not self.may_be_cold(now_s):
+            return True
         self._drop_old_attempts(now_s)
-        return len(self._recent_attempts_s) < max(int(cold_per_s), 1)
+        return len(self._recent_attempts_s) < cold_attempts_in_s(cold_per_s)
+
+    def may_be_cold(self, now_s: float) -> bool:
+        """Return whether the server is cold or not known to be warm."""
+        if self.is_cold(now_s):
+            return True
+        age_s = self.warm_report_age_s(now_s)
+        return self.reports_load and age_s >= WARM_REPORT_VALIDITY_S
+
+    def warm_report_age_s(self, now_s: float) -> float:
+        """Return the age of the last report of being warm, else infinity."""
+        return now_s - self._reported_warm_s
+
+    @property
+    def attempts_since_warm_report(self) -> int:
+        """Attempts since the last report of being warm."""
+        return self.use_counts.attempts - self._attempts_until_warm_report
+
+    def attempts_in_last_s(self, now_s: float) -> int:
+        """Return the number of attempts in the last second."""
+        count = 0
+        for attempt_s in reversed(self._recent_attempts_s):
+            if now_s - attempt_s >= _COUNTED_S:
+                break
+            count += 1
+        return count
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is still warming up, as far as known."""
@@ -238,6 +262,7 @@
         self._cold_until_s = now_s + cold_left_s
         if not cold_left_s:
             self._reported_warm_s = now_s
+            self._attempts_until_warm_report = self.use_counts.attempts
 
     def assume_cold(self) -> None:
         """Treat the server as cold until it reports to be warm."""
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -25,9 +25,15 @@
     rank_candidates,
 )
 from turmericpost_core.grants.backend_state import BackendState
+from turmericpost_core.grants.grant_observer import (
+    GrantObserver,
+    GrantTerms,
+    IgnoringObserver,
+)
 from turmericpost_core.grants.limits import (
     MIN_RATE_LIMIT_SHARE,
     RetryLimits,
+    cold_attempts_in_s,
 )
 from turmericpost_core.grants.permit_table import PermitTable
 from turmericpost_core.grants.permits import (
@@ -61,13 +67,15 @@
     uses no part of either limit, since the leader still uses its own share.
     While ``is_settling``, called with the time, returns true, this VM may
     not know which servers have left during a pause, nor that another broker
-    has taken over. It then grants nothing and sends no probes.
+    has taken over. It then grants nothing and sends no probes. ``observer``
+    is told of every grant and of servers that turn out to be cold.
     """
 
     def __init__(self, own_name: str, retry_limits: RetryLimits) -> None:
         self.visible_share = float(0)
         self.leads: Callable[[Pool], bool] = _always_leads
         self.is_settling: Callable[[float], bool] = _is_never_settling
+        self.observer: GrantObserver = IgnoringObserver()
         self.rate_limits = RateLimitTable()
         self.availability = AvailabilityTable()
         self._retry_limits = retry_limits
@@ -182,8 +190,8 @@
         server = self._end_attempt(record, attempt_report.outcome, now_s)
         if server is None:
             return ()
-        server.record_load(
-            attempt_report.reported_load, now_s, server.permits + 1
+        self._record_load(
+            server, attempt_report.reported_load, now_s, server.permits + 1
         )
         if attempt_report.outcome is AttemptOutcome.SUCCESS:
             if attempt_report.reported_load is None:
@@ -212,7 +220,7 @@
             return ()
         server.probe_pending = False
         server.is_healthy = is_healthy
-        server.record_load(reported_load, now_s, server.permits)
+        self._record_load(server, reported_load, now_s, server.permits)
         if reported_load is None:
             server.reports_load = False
         return self.decide(now_s, pool_of(server.backend))
@@ -351,8 +359,31 @@
             server.slowness_percent,
         )
         self._permit_table.add_grant(grant, record)
+        terms = self._terms(request.pool)
+        self.observer.permit_granted(grant, server, terms, now_s)
         return grant
 
+    def _terms(self, pool: Pool) -> GrantTerms:
+        cold_per_s = self._cold_per_s(pool)
+        return GrantTerms(
+            self.leads(pool),
+            self._own_share(pool),
+            cold_per_s,
+            cold_attempts_in_s(cold_per_s),
+        )
+
+    def _record_load(
+        self,
+        server: BackendState,
+        reported_load: ReportedLoad | None,
+        now_s: float,
+        own_calls: int,
+    ) -> None:
+        reports_cold = reported_load is not None and reported_load.cold_left_s
+        if reports_cold and not server.may_be_cold(now_s):
+            self.observer.found_cold(server, now_s)
+        server.record_load(reported_load, now_s, own_calls)
+
     def _own_share(self, pool: Pool) -> float:
         return self.visible_share if self.leads(pool) else float(0)
 
--- a/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
@@ -135,6 +135,10 @@
         if known is None or digest.created_s > known.created_s:
             self._digests[digest.failure_domain] = digest
 
+    def last_digest(self, failure_domain: str) -> DomainDigest | None:
+        """Return the last digest of another domain, however old."""
+        return self._digests.get(failure_domain)
+
     def is_live(self, name: str) -> bool:
         """Return whether a VM was live at the last ``update_liveness``."""
         return name in self._live
