Log and count who grants permits for cold servers, and by which right

Many brokers with the least rate of one attempt a second, VMs that rank themselves alone for lack of a digest, and servers that turned cold unannounced looked the same in the logs.

Change: brokering-changed (5113) when this VM begins or ends to grant for a pool, or does so by another lead or share; three lines at each check, the others wait. cold-permit-granted (5114), at most 50 a second. server-found-cold (5115), at most 20 a second. Lines left out are counted. Gauges and counters on the metrics address.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
@@ -12,6 +12,7 @@
 from turmericpost.gateway.call_codec import CallCodec
 from turmericpost.gateway.connections import ServerConnections
 from turmericpost.gateway.gateway_metrics import GatewayMetrics
+from turmericpost.gateway.grant_log import GrantLog
 from turmericpost.gateway.ingress import Ingress
 from turmericpost.gateway.leadership import Leadership
 from turmericpost.gateway.permit_client import PermitClient
@@ -39,6 +40,7 @@
     permit_client: PermitClient
     broker_service: BrokerService
     backend_status_log: BackendStatusLog
+    grant_log: GrantLog
     connections: ServerConnections
     prober: BackendProber
     statements: StatementExchange
@@ -60,15 +62,18 @@
 def build_call_path(dependencies: CallPathDependencies) -> CallPath:
     """Build the components that handle calls and connect them."""
     connections = ServerConnections(dependencies.reactor, dependencies.clock)
-    state = dependencies.state
     prober = BackendProber(
         dependencies.reactor,
         connections,
         dependencies.call_codec,
-        lambda service: _health_path(state, service),
+        lambda service: _health_path(dependencies.state, service),
     )
     broker = _new_broker(dependencies)
     broker.leads = Leadership(dependencies.clock, dependencies.peers.view).leads
+    grant_log = GrantLog(
+        dependencies.clock, dependencies.peers.view, dependencies.metrics
+    )
+    broker.observer = grant_log
     statements = StatementExchange(
         dependencies.clock,
         dependencies.peers,
@@ -102,7 +107,7 @@
     ingress = Ingress(
         dependencies.reactor,
         attempt_dependencies,
-        state,
+        dependencies.state,
         permit_client,
         dependencies.settings,
         dependencies.metrics,
@@ -112,6 +117,7 @@
         permit_client,
         broker_service,
         BackendStatusLog(dependencies.clock, broker, dependencies.peers),
+        grant_log,
         connections,
         prober,
         statements,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
@@ -20,6 +20,12 @@
 _US_PER_S = 1_000_000
 _PERCENTILES = (50, 90, 99, 99.9)
 _PERCENT = 100
+_COLD_PERMIT_KINDS = (
+    'lead',
+    'no-lead',
+    'other-domain-lead',
+    'other-domain-no-lead',
+)
 
 
 class GatewayMetrics:
@@ -31,6 +37,9 @@
         self.refusals: Counter[RefusalReason] = Counter()
         self.failed_attempts: Counter[str] = Counter()
         self.latency_us = new_histogram()
+        self.cold_permits: Counter[str] = Counter()
+        self.max_cold_permits_in_s = 0
+        self.servers_found_cold = 0
 
     def record_response(self, latency_s: float, status: int) -> None:
         """Count a call with a response of a backend server, and its latency."""
@@ -79,7 +88,7 @@
         )
         yield _by_label('sends_failed', 'cause', metrics.failed_attempts)
         yield self._store_call_counts()
-        yield self._state_failure_counts()
+        yield from self._failure_and_cold_counts()
         yield self._call_latency()
         for name, number in self._gauges().items():
             yield GaugeMetricFamily(
@@ -94,6 +103,22 @@
         registry.register(self)
         return generate_latest(registry)
 
+    def _failure_and_cold_counts(self) -> Iterator[Metric]:
+        yield self._state_failure_counts()
+        yield _by_label(
+            'cold_permits',
+            'by',
+            {
+                kind: self._metrics.cold_permits[kind]
+                for kind in _COLD_PERMIT_KINDS
+            },
+        )
+        yield CounterMetricFamily(
+            'turmericpost_servers_found_cold',
+            'Servers believed to be warm that reported to be cold.',
+            value=self._metrics.servers_found_cold,
+        )
+
     def _store_call_counts(self) -> Metric:
         family = CounterMetricFamily(
             'turmericpost_store_calls',
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -366,13 +366,17 @@
         self._caller_port.check_timeouts()
         self._endpoint_port.check_timeouts()
         self.call_path.broker_service.evict_expired()
-        self.call_path.backend_status_log.log_changes()
-        self.ingress.log_dropped_lines()
+        self._log_changes()
         self.state_sync.monitor.report()
         self._update_readiness()
         if self.state.directory.withhold(now_s):
             self._state_changed('withheld')
 
+    def _log_changes(self) -> None:
+        self.call_path.backend_status_log.log_changes()
+        self.call_path.grant_log.log_changes()
+        self.ingress.log_dropped_lines()
+
     def _update_visible_share(self, now_s: float) -> None:
         age_s = now_s - self._started_s
         current_share = self.view.live_share(age_s, now_s)
@@ -432,6 +436,7 @@
             'vms_heard': len(self.view.live_members(self.clock.monotonic_s())),
             'server_report_age_s': self._oldest_report_age_s(),
             'servers_with_rate_limit': self._count_rate_limits(),
+            **self.call_path.grant_log.gauges(),
             **self.call_path.broker_service.closed_counts(),
             **dict(self.state_sync.monitor.gauges()),
         }
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -169,6 +169,24 @@
         Level.WARNING,
         'applying the changes of a peer did not give the state of the peer',
     )
+    BROKERING_CHANGED = (
+        5113,
+        Level.INFO,
+        (
+            'this VM begins or ends to grant permits for a pool, or does so '
+            'by another right or share'
+        ),
+    )
+    COLD_PERMIT_GRANTED = (
+        5114,
+        Level.INFO,
+        'a permit was granted for a server that may be cold',
+    )
+    SERVER_FOUND_COLD = (
+        5115,
+        Level.INFO,
+        'a server that was believed to be warm reports to be cold',
+    )
     DATAGRAM_NOT_SENT = (5104, Level.WARNING, 'a datagram was not sent')
     CALL_ENDED = (6002, Level.INFO, 'a call ended with a response')
     CALL_FAILED = (6003, Level.INFO, 'a call ended without a response')
