Name the permit of each attempt sent in the trail of a call

Cause: a step `sent` named the server only, so it could not be joined with the line of the broker that granted it without its step `permit`.

Change: the step has the id of the permit, which begins with the broker.

Measured: the tests of calls pass, the new one among them.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/call.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call.py
@@ -256,7 +256,12 @@
         left_s = self.context.deadline_at_s - now_s
         head = self._host.forwarded_head(self._exchange, backend_id, left_s)
         connection.write(head + self._body.attach(connection))
-        self.trail.add('sent', backend=backend_id, left_s=round(left_s, 3))
+        self.trail.add(
+            'sent',
+            backend=backend_id,
+            permit=_permit_at(backend_id, self._attempts),
+            left_s=round(left_s, 3),
+        )
         self._exchange.resume_body()
         return True
 
@@ -454,3 +459,14 @@
     if record.may_have_run:
         return True
     return any(attempt.sent_s is not None for attempt in attempts)
+
+
+def _permit_at(backend_id: str, attempts: list[Attempt]) -> str:
+    """Return the id of the permit in use at a server, empty if none.
+
+    The attempts of a call are at different servers.
+    """
+    for attempt in attempts:
+        if attempt.permit.backend.backend_id == backend_id:
+            return attempt.permit.permit_id
+    return ''
--- a/packages/turmericpost-entry/tests/gateway/test_call.py
+++ b/packages/turmericpost-entry/tests/gateway/test_call.py
@@ -57,6 +57,20 @@
         self.assertEqual(harness.reports, [('b1', AttemptOutcome.SUCCESS)])
         self.assertEqual(len(harness.connections.released), 1)
 
+    # Guards against an attempt that cannot be joined with its broker's lines.
+    def test_trail_names_the_permit_of_each_attempt_sent(self) -> None:
+        harness = CallHarness()
+        harness.send_request()
+        harness.permit(1)
+        harness.send_response(0, SHED)
+        harness.permit(2)
+        sent = [
+            (step['backend'], step['permit'])
+            for step in harness.calls[-1].trail.steps()
+            if step['step'] == 'sent'
+        ]
+        self.assertEqual(sent, [('b1', 'vm.1/1'), ('b2', 'vm.1/2')])
+
     def test_response_to_an_earlier_call_is_skipped(self) -> None:
         harness = CallHarness()
         harness.send_request()
