Call the attempts allowed in a second the same in both lines

Cause: cold-permit-granted had allowed_in_s, brokering-changed cold_attempts_in_s for the same number.

Change: GrantTerms.allowed_in_s, and that name in both.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/grant_observer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/grant_observer.py
@@ -14,14 +14,14 @@
     """Limits in force for a pool when its broker granted a permit.
 
     ``share`` is the part of the cold rate limit that this broker uses,
-    ``cold_per_s`` that part for one server. ``cold_attempts_in_s`` is what it
-    allows a server that may be cold.
+    ``cold_per_s`` that part for one server, and ``allowed_in_s`` the attempts
+    in a second that it allows a server that may be cold.
     """
 
     leads: bool
     share: float
     cold_per_s: float
-    cold_attempts_in_s: int
+    allowed_in_s: int
 
 
 class GrantObserver(Interface):
--- a/packages/turmericpost-entry/src/turmericpost/gateway/grant_log.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/grant_log.py
@@ -119,7 +119,7 @@
         is_known_cold=server.is_cold(now_s),
         is_retry=grant.request.is_retry,
         attempts_in_s=attempts,
-        allowed_in_s=terms.cold_attempts_in_s,
+        allowed_in_s=terms.allowed_in_s,
         cold_per_s=round(terms.cold_per_s, _DIGITS),
         share=round(terms.share, _DIGITS),
         leads=terms.leads,
--- a/packages/turmericpost-entry/tests/gateway/test_brokered_pools.py
+++ b/packages/turmericpost-entry/tests/gateway/test_brokered_pools.py
@@ -52,7 +52,7 @@
                     'leads': True,
                     'share': 1,
                     'cold_per_s': 3,
-                    'cold_attempts_in_s': 3,
+                    'allowed_in_s': 3,
                     'heard': 2,
                     'known': 3,
                     'digest_age_s': None,
@@ -71,7 +71,7 @@
         self.assertEqual(line['change'], 'changed')
         self.assertEqual(line['why'], 'asked-by-other-vm')
         self.assertEqual((line['grants'], line['without_lead']), (2, 0))
-        self.assertEqual((line['share'], line['cold_attempts_in_s']), (0, 1))
+        self.assertEqual((line['share'], line['allowed_in_s']), (0, 1))
 
     def test_own_request_without_lead_tells_that_the_others_are_silent(
         self,
--- a/packages/turmericpost-entry/tests/gateway/test_grant_log.py
+++ b/packages/turmericpost-entry/tests/gateway/test_grant_log.py
@@ -184,7 +184,7 @@
         self._report(cold_left_s=5)
         grant = self._grant()
         (server,) = self.broker.backend_states()
-        terms = Mock(leads=True, share=1, cold_per_s=3, cold_attempts_in_s=3)
+        terms = Mock(leads=True, share=1, cold_per_s=3, allowed_in_s=3)
         for _ in range(COLD_PERMIT_LINES_PER_S + 9):
             self.grant_log.permit_granted(grant, server, terms, self.now_s)
         for _ in range(FOUND_COLD_LINES_PER_S + 7):
