Add turmericpostctl explain-server

Cause: from a server and a second to who granted what under which share, the lines of all VMs had to be put together by hand.

Change: for a server and a time span it prints the attempts of each second by broker and the most within any second, the permits while the server may have been cold by broker with lead and share, the found-cold lines, the brokering-changed lines of these brokers (the last one before the span, too) and what was left out. Attempts are joined by permit. It reads the logs line by line and keeps only lines that may matter. Reading of log lines moved from request_timeline to log_lines, unchanged.

--- a/packages/turmericpost-ctl/src/turmericpost_ctl/commands.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/commands.py
@@ -11,6 +11,7 @@
 
 from turmericpost_ctl.admin_client import AdminClient
 from turmericpost_ctl.exit_status import ExitStatus
+from turmericpost_ctl.log_lines import parse_utc
 from turmericpost_ctl.publishing import PublishRequest, publish_document
 from turmericpost_ctl.rendering import (
     explain_lines,
@@ -19,6 +20,8 @@
     status_lines,
 )
 from turmericpost_ctl.request_timeline import read_timeline, timeline_lines
+from turmericpost_ctl.server_rendering import server_lines
+from turmericpost_ctl.server_timeline import TimeSpan, read_server_timeline
 from turmericpost_ctl.settings import DEFAULT_ADMIN_URL, DEFAULT_WAIT_S
 
 
@@ -110,6 +113,31 @@
     return ExitStatus.IN_FORCE.value
 
 
+def explain_server(server: str, *files: Path, since: str, until: str) -> int:
+    """Print who sent requests to a server, from the logs of all VMs.
+
+    :param server: id of the backend server
+    :param files: log files; standard input if there are none
+    :param since: begin of the time span, such as 2026-12-06T10:00:01; in UTC
+        unless it has an offset
+    :param until: end of the time span
+    """
+    since_utc, until_utc = parse_utc(since), parse_utc(until)
+    if since_utc is None or until_utc is None:
+        message = 'since and until must be ISO 8601 times'
+        _print_lines((message,), failed=True)
+        return ExitStatus.USAGE.value
+    span = TimeSpan(since_utc, until_utc)
+    try:
+        timeline = read_server_timeline(_file_lines(files), server, span)
+    except OSError as error:
+        message = f'{error.filename}: {error.strerror}'
+        _print_lines((message,), failed=True)
+        return ExitStatus.USAGE.value
+    _print_lines(server_lines(timeline, server), failed=False)
+    return ExitStatus.IN_FORCE.value
+
+
 def explain(
     *,
     service: str,
@@ -135,6 +163,15 @@
     return _print_view(admin_url, 'explain', explain_lines, query)
 
 
+def _file_lines(files: tuple[Path, ...]) -> Iterator[str]:
+    """Yield the lines of the files, of standard input if there are none."""
+    if not files:
+        yield from sys.stdin
+    for path in files:
+        with path.open(encoding='utf-8', errors='replace') as log_file:
+            yield from log_file
+
+
 def _print_view(
     admin_url: str,
     view: str,
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/request_timeline.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/request_timeline.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Any
 
+from turmericpost_ctl.log_lines import parse_event, timestamp
+
 LOOKBACK = timedelta(seconds=10)
 """Period before a request for which related changes are shown.
 
@@ -44,7 +45,7 @@
     timeline = RequestTimeline()
     candidate_changes: list[dict[str, Any]] = []
     for line in lines:
-        event = _parse_event(line)
+        event = parse_event(line)
         if event is None:
             timeline.unreadable_lines += bool(line.strip())
         elif event.get('call') == request_id:
@@ -58,12 +59,12 @@
             _STATE_CAUGHT_UP,
         }:
             candidate_changes.append(event)
-    timeline.calls.sort(key=_timestamp)
+    timeline.calls.sort(key=timestamp)
     related = (
         *_related_changes(candidate_changes, timeline.calls),
         *_lags(candidate_changes, timeline.calls),
     )
-    timeline.changes = sorted(related, key=_timestamp)
+    timeline.changes = sorted(related, key=timestamp)
     return timeline
 
 
@@ -75,7 +76,7 @@
         yield 'related changes:'
     for change in timeline.changes:
         yield (
-            f'  {_timestamp(change)} {change.get("vm")}: {_change_text(change)}'
+            f'  {timestamp(change)} {change.get("vm")}: {_change_text(change)}'
         )
     if timeline.unreadable_lines:
         yield f'{timeline.unreadable_lines} lines could not be decoded'
@@ -84,7 +85,7 @@
 def _call_lines(call: dict[str, Any], request_id: str) -> Iterator[str]:
     yield ' '.join(
         (
-            f'{_timestamp(call)} {call.get("vm")}: {call.get("name")}',
+            f'{timestamp(call)} {call.get("vm")}: {call.get("name")}',
             f'{request_id} status {call.get("status", "none")}',
             f'reason {call.get("reason", "none")}',
             f'after {call.get("ms", "?")} ms',
@@ -127,14 +128,14 @@
     backends = {step['backend'] for step in trail_steps if 'backend' in step}
     domains = {step['domain'] for step in trail_steps if 'domain' in step}
     services = {call.get('service') for call in calls}
-    window_end = _timestamp(calls[-1]) if calls else ''
+    window_end = timestamp(calls[-1]) if calls else ''
     window_start = _lookback_start(window_end)
     for event in events:
         backends_of_event = {event.get('backend'), *event.get('lost', ())}
         is_related = bool(backends_of_event & backends)
         if event.get('domain') in domains:
             is_related = event.get('service') in services
-        if is_related and window_start <= _timestamp(event) <= window_end:
+        if is_related and window_start <= timestamp(event) <= window_end:
             yield event
 
 
@@ -148,10 +149,10 @@
     last_lines = {
         (call.get('vm'), event.get('part')): event
         for call in calls
-        for event in sorted(events, key=_timestamp)
+        for event in sorted(events, key=timestamp)
         if event.get('name') in {_STATE_BEHIND, _STATE_CAUGHT_UP}
         and event.get('vm') == call.get('vm')
-        and _timestamp(event) <= _timestamp(call)
+        and timestamp(event) <= timestamp(call)
     }
     for event in last_lines.values():
         if event.get('name') == _STATE_BEHIND:
@@ -165,16 +166,3 @@
     except ValueError:
         return ''
     return (window_end - LOOKBACK).isoformat(timespec='milliseconds')
-
-
-def _timestamp(event: dict[str, Any]) -> str:
-    return str(event.get('at_utc', ''))
-
-
-def _parse_event(line: str) -> dict[str, Any] | None:
-    _, brace, json_text = line.partition('{')
-    try:
-        event = json.loads(brace + json_text)
-    except ValueError:
-        return None
-    return event if isinstance(event, dict) else None
--- a/packages/turmericpost-ctl/src/turmericpost_ctl/run.py
+++ b/packages/turmericpost-ctl/src/turmericpost_ctl/run.py
@@ -8,6 +8,7 @@
 from turmericpost_ctl.commands import (
     explain,
     explain_request,
+    explain_server,
     history,
     plan,
     publish,
@@ -22,6 +23,7 @@
     history,
     explain,
     explain_request,
+    explain_server,
     plan,
 )
 
