Drop old attempts of a server when an attempt starts

Cause: the times of attempts were dropped only when the cold rate was asked for, which is never while a server stays warm, so they were kept for good. Change: each new attempt drops those older than the window.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -183,6 +183,11 @@
         """Attempts since the last report of being warm."""
         return self.use_counts.attempts - self._attempts_until_warm_report
 
+    @property
+    def kept_attempts(self) -> int:
+        """Number of attempts whose times are kept."""
+        return len(self._recent_attempts_s)
+
     def attempts_in_last_s(self, now_s: float) -> int:
         """Return the number of attempts in the last second."""
         count = 0
@@ -278,6 +283,7 @@
         self.use_counts.attempts += 1
         self.use_counts.retries += is_retry
         self._recent_attempts_s.append(now_s)
+        self._drop_old_attempts(now_s)
 
     def record_attempt_end(self, outcome: AttemptOutcome, now_s: float) -> None:
         """Count the end of an attempt and update the health of the server."""
