Share the cold rate of a server without a floor for each broker

Cause: what a cold server bears is a sum over all VMs, and two rules let it grow with their number. Each broker might send one attempt a second whatever its share was. And a VM without a valid digest of a domain ranked itself alone and led all pools there, with the share that it had of its own domain. That happens in ordinary operation: when the one VM that sends a domain's digests is lost, the next one sends after 4.4 heartbeat periods and up to a second, which at 35 VMs is longer than the 4 s for which a digest is valid, and at 5 or 20 VMs is not. Then 105 VMs outside lead at full pace.

Change: grants/rate_share.py is the one place that turns a share into a pace. Another domain is ranked by its last digest for 8 s, so its leader is still asked. A broker that may use no server refuses at once, with the time at which one may be used.

Tests replaced: the table's broken build is now a floor for each broker, as a missing rate limit alone no longer lets a broker without a part grant; two tests of log lines of grants without any share become one of the part that is shown and one that no such grant is made; an old digest ends after 8 s for ranks, 4 s for live VMs.

Conclusion: no floor for each VM is left in the cold rate. Stated limits have one still (MIN_RATE_LIMIT_SHARE), which follows.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
+from itertools import takewhile
 
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.availability import Availability
@@ -19,14 +20,17 @@
     MIN_PROBE_INTERVAL_S,
     OTHER_LOAD_VALIDITY_S,
     WARM_REPORT_VALIDITY_S,
-    cold_attempts_in_s,
     usable_slots,
 )
 from turmericpost_core.grants.permits import AttemptOutcome, ReportedLoad
 from turmericpost_core.grants.rate_pacer import RatePacer
+from turmericpost_core.grants.rate_share import (
+    MAX_WINDOW_S,
+    UNUSED_RECHECK_S,
+    AttemptPace,
+)
 
 _NEVER_S = float('-inf')
-_RATE_WINDOW_S = 1.1
 _COUNTED_S = 1.0
 _PERCENT = 100.0
 _MAX_DOUBLINGS = 5
@@ -113,6 +117,17 @@
         """Whether many attempts in a row were rejected."""
         return self._rejections > _MAX_USUAL_REJECTIONS
 
+    def usable_from_s(self, now_s: float) -> float:
+        """Return when a broker that may not use the server now may use it.
+
+        The time is an estimate, infinite if the server leaves.
+        """
+        if self.is_closed(now_s):
+            return self.closed_until_s
+        if self.is_cold(now_s):
+            return self._cold_until_s
+        return now_s + UNUSED_RECHECK_S
+
     def close_until(self, availability: Availability | None) -> None:
         """Apply what the server states, ``None`` if it takes requests."""
         if availability is None:
@@ -134,17 +149,17 @@
             other_load = 0
         return self.permits + other_load
 
-    def has_room(self, now_s: float, cold_per_s: float) -> bool:
+    def has_room(self, now_s: float, cold_pace: AttemptPace) -> bool:
         """Return whether the server may get one more attempt now.
 
-        ``cold_per_s`` is the rate limit in attempts per second that applies
-        unless the server is known to be warm.
+        ``cold_pace`` limits the attempts unless the server is known to be
+        warm.
         """
         return self._has_free_slot(now_s) and self.is_within_cold_rate(
-            now_s, cold_per_s
+            now_s, cold_pace
         )
 
-    def lacks_report(self, now_s: float, cold_per_s: float) -> bool:
+    def lacks_report(self, now_s: float, cold_pace: AttemptPace) -> bool:
         """Return whether a load report would tell if there is room.
 
         The last report is stale, or the server would be over the cold rate
@@ -152,11 +167,11 @@
         """
         if not self._has_free_slot(now_s):
             return False
-        if self.is_within_cold_rate(now_s, cold_per_s):
+        if self.is_within_cold_rate(now_s, cold_pace):
             return not self.is_report_fresh(now_s)
         return not self.is_cold(now_s)
 
-    def is_within_cold_rate(self, now_s: float, cold_per_s: float) -> bool:
+    def is_within_cold_rate(self, now_s: float, cold_pace: AttemptPace) -> bool:
         """Return whether the cold rate limit allows one more attempt.
 
         The limit applies to a cold server, and to one that reports its load
@@ -164,8 +179,8 @@
         """
         if not self.may_be_cold(now_s):
             return True
-        self._drop_old_attempts(now_s)
-        return len(self._recent_attempts_s) < cold_attempts_in_s(cold_per_s)
+        recent = self._attempts_within(cold_pace.window_s, now_s)
+        return recent < cold_pace.attempts
 
     def may_be_cold(self, now_s: float) -> bool:
         """Return whether the server is cold or not known to be warm."""
@@ -190,12 +205,7 @@
 
     def attempts_in_last_s(self, now_s: float) -> int:
         """Return the number of attempts in the last second."""
-        count = 0
-        for attempt_s in reversed(self._recent_attempts_s):
-            if now_s - attempt_s >= _COUNTED_S:
-                break
-            count += 1
-        return count
+        return self._attempts_within(_COUNTED_S, now_s)
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the server is still warming up, as far as known."""
@@ -337,7 +347,12 @@
         change = failed - self.failure_share
         self.failure_share += 2 * LATENCY_WEIGHT * change
 
+    def _attempts_within(self, window_s: float, now_s: float) -> int:
+        newest_first = reversed(self._recent_attempts_s)
+        since_s = now_s - window_s
+        return sum(1 for _ in takewhile(since_s.__le__, newest_first))
+
     def _drop_old_attempts(self, now_s: float) -> None:
-        oldest_s = now_s - _RATE_WINDOW_S
+        oldest_s = now_s - MAX_WINDOW_S
         while self._recent_attempts_s and self._recent_attempts_s[0] < oldest_s:
             self._recent_attempts_s.popleft()
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -33,7 +33,6 @@
 from turmericpost_core.grants.limits import (
     MIN_RATE_LIMIT_SHARE,
     RetryLimits,
-    cold_attempts_in_s,
 )
 from turmericpost_core.grants.permit_table import PermitTable
 from turmericpost_core.grants.permits import (
@@ -51,6 +50,11 @@
 )
 from turmericpost_core.grants.pool_state import PoolState
 from turmericpost_core.grants.rate_limits import RateLimitTable, pool_of
+from turmericpost_core.grants.rate_share import (
+    AttemptPace,
+    attempt_pace,
+    part_per_s,
+)
 
 _PERCENT = 100.0
 
@@ -61,10 +65,11 @@
     ``visible_share`` is the share of the domain's VMs, from 0 to 1, that
     this VM receives heartbeats from. During a network partition each part of
     the domain has its own broker, so each uses only its share of the cold
-    rate limit and of the retry slack. ``leads`` tells whether this VM is the
-    leader of a pool, the first choice as its broker. If it is not, requests
-    come here only because the leader did not reply in time. This broker then
-    uses no part of either limit, since the leader still uses its own share.
+    rate limit, of the rate limits that servers state, and of the retry
+    slack. ``lead_share`` returns the part of this share that a pool's rank
+    allows: 1 for the leader of the pool, the first choice as its broker. On
+    other VMs requests arrive because the leader did not reply in time, while
+    it still uses its own share.
     While ``is_settling``, called with the time, returns true, this VM may
     not know which servers have left during a pause, nor that another broker
     has taken over. It then grants nothing and sends no probes. ``observer``
@@ -73,7 +78,7 @@
 
     def __init__(self, own_name: str, retry_limits: RetryLimits) -> None:
         self.visible_share = float(0)
-        self.leads: Callable[[Pool], bool] = _always_leads
+        self.lead_share: Callable[[Pool], float] = _leads_all
         self.is_settling: Callable[[float], bool] = _is_never_settling
         self.observer: GrantObserver = IgnoringObserver()
         self.rate_limits = RateLimitTable()
@@ -135,7 +140,8 @@
         if request.permit_request_id in pool.queue:
             return ()
         self._apply_statements(request.pool, now_s)
-        denial = pool.immediate_denial(request, now_s)
+        cold_pace = self._cold_pace(request.pool)
+        denial = pool.immediate_denial(request, now_s, cold_pace)
         if denial is not None:
             return (denial,)
         pool.queue.add(request)
@@ -280,13 +286,14 @@
         pool_state = self._pool(pool)
         ahead = 0
         self._apply_statements(pool, now_s)
+        cold_pace = self._cold_pace(pool)
         candidates = self._candidates(pool, now_s)
         for request in tuple(pool_state.queue.in_order(now_s)):
             decision = self._decide_request(request, candidates, now_s)
             if isinstance(decision, PermitGrant):
                 candidates = self._candidates(pool, now_s)
             decision = decision or pool_state.denial_for_queued(
-                request, ahead, candidates, now_s
+                request, ahead, candidates, now_s, cold_pace
             )
             if decision is None:
                 ahead += 1
@@ -320,12 +327,12 @@
         pool_state = self._pool(pool)
         if self.is_settling(now_s):
             return rank_candidates(pool_state.backend_states, (), now_s)
-        cold_per_s = self._cold_per_s(pool)
+        cold_pace = self._cold_pace(pool)
         return rank_candidates(
             pool_state.backend_states,
-            pool_state.available_backends(now_s, cold_per_s),
+            pool_state.available_backends(now_s, cold_pace),
             now_s,
-            lacks_reports=pool_state.lacks_reports(now_s, cold_per_s),
+            lacks_reports=pool_state.lacks_reports(now_s, cold_pace),
         )
 
     def _grant(
@@ -364,12 +371,12 @@
         return grant
 
     def _terms(self, pool: Pool) -> GrantTerms:
-        cold_per_s = self._cold_per_s(pool)
+        share = self._own_share(pool)
         return GrantTerms(
-            self.leads(pool),
-            self._own_share(pool),
-            cold_per_s,
-            cold_attempts_in_s(cold_per_s),
+            self.lead_share(pool) >= 1,
+            share,
+            part_per_s(self._whole_cold_per_s(pool), share),
+            self._cold_pace(pool).attempts,
         )
 
     def _record_load(
@@ -385,7 +392,7 @@
         server.record_load(reported_load, now_s, own_calls)
 
     def _own_share(self, pool: Pool) -> float:
-        return self.visible_share if self.leads(pool) else float(0)
+        return self.visible_share * self.lead_share(pool)
 
     def _apply_statements(self, pool: Pool, now_s: float) -> None:
         """Apply what the servers of a pool have stated to their states."""
@@ -403,15 +410,19 @@
         """Yield probes of servers that a load report may make usable."""
         if self.is_settling(now_s):
             return
-        cold_per_s = self._cold_per_s(pool)
-        for server in self._pool(pool).backends_to_probe(now_s, cold_per_s):
+        cold_pace = self._cold_pace(pool)
+        for server in self._pool(pool).backends_to_probe(now_s, cold_pace):
             server.record_probe_start(now_s)
             yield ProbeRequest(server.backend)
 
-    def _cold_per_s(self, pool: Pool) -> float:
+    def _cold_pace(self, pool: Pool) -> AttemptPace:
         """Return this broker's part of the cold rate limit of a server."""
+        cold_per_s = self._whole_cold_per_s(pool)
+        return attempt_pace(cold_per_s, self._own_share(pool))
+
+    def _whole_cold_per_s(self, pool: Pool) -> float:
         spec = self._services.get(pool[0])
-        return 1 if spec is None else spec.cold_per_s * self._own_share(pool)
+        return 1 if spec is None else spec.cold_per_s
 
     def _end_attempt(
         self,
@@ -437,8 +448,8 @@
         return pool_state
 
 
-def _always_leads(_requested_pool: Pool) -> bool:
-    return True
+def _leads_all(_requested_pool: Pool) -> float:
+    return 1
 
 
 def _is_never_settling(_now_s: float) -> bool:
--- a/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
@@ -123,11 +123,6 @@
     slack_share: float
 
 
-def cold_attempts_in_s(cold_per_s: float) -> int:
-    """Return how many attempts in a second a broker allows a cold server."""
-    return max(int(cold_per_s), 1)
-
-
 def usable_slots(slots: int) -> int:
     """Return how many of a server's slots can be used without slowing it."""
     usable = int(USABLE_SLOT_SHARE * slots)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -18,6 +18,7 @@
     PermitDenial,
     PermitRequest,
 )
+from turmericpost_core.grants.rate_share import AttemptPace
 from turmericpost_core.grants.request_queue import RequestQueue
 from turmericpost_core.grants.sliding_retry_budget import SlidingRetryBudget
 
@@ -60,24 +61,24 @@
         return self._budget
 
     def available_backends(
-        self, now_s: float, cold_per_s: float
+        self, now_s: float, cold_pace: AttemptPace
     ) -> list[BackendState]:
         """Return the servers that may take one more attempt."""
         return [
             server
             for server in self.backend_states
-            if server.has_room(now_s, cold_per_s)
+            if server.has_room(now_s, cold_pace)
         ]
 
-    def lacks_reports(self, now_s: float, cold_per_s: float) -> bool:
+    def lacks_reports(self, now_s: float, cold_pace: AttemptPace) -> bool:
         """Return whether a load report may make another server usable."""
         return any(
-            server.lacks_report(now_s, cold_per_s)
+            server.lacks_report(now_s, cold_pace)
             for server in self.backend_states
         )
 
     def backends_to_probe(
-        self, now_s: float, cold_per_s: float
+        self, now_s: float, cold_pace: AttemptPace
     ) -> list[BackendState]:
         """Return the servers whose load reports are needed, least loaded first.
 
@@ -86,34 +87,44 @@
         due = [
             server
             for server in self.backend_states
-            if server.may_probe(now_s)
-            and server.lacks_report(now_s, cold_per_s)
+            if server.may_probe(now_s) and server.lacks_report(now_s, cold_pace)
         ]
         due.sort(key=lambda server: (server.in_use(now_s), server.probed_s))
         return due[:MAX_PROBES_PER_DECISION]
 
     def expected_wait_s(
-        self, ahead: int, request: PermitRequest, now_s: float
+        self,
+        ahead: int,
+        request: PermitRequest,
+        now_s: float,
+        cold_pace: AttemptPace,
     ) -> float:
         """Return the expected wait in seconds behind ``ahead`` requests.
 
-        A server with a rate limit counts as the slots that its rate keeps busy.
-        At least one server must be open.
+        A server with a rate limit counts as the slots that its rate keeps busy,
+        and so does a cold one. At least one server must be usable.
         """
         service_time_s = self.queue.typical_service_time_s(request)
-        open_backends = self.open_backends(now_s)
-        slots = float(0)
-        for server in open_backends:
-            usable = float(usable_slots(server.backend.slots))
+        usable_backends = self._usable_backends(now_s, cold_pace)
+        attempts_per_s = float(0)
+        for server in usable_backends:
+            limits_per_s = [float('inf')]
+            if service_time_s:
+                usable = usable_slots(server.backend.slots)
+                limits_per_s.append(usable / service_time_s)
             if server.pacer.rate_per_s is not None:
-                usable = min(usable, server.pacer.rate_per_s * service_time_s)
-            slots += usable
-        queue_wait_s = self.queue.wait_s(ahead, slots, request, now_s)
-        next_start_s = min(state.pacer.wait_s(now_s) for state in open_backends)
+                limits_per_s.append(server.pacer.rate_per_s)
+            if server.is_cold(now_s):
+                limits_per_s.append(cold_pace.per_s)
+            attempts_per_s += min(limits_per_s)
+        queue_wait_s = self.queue.wait_s(ahead, 1 / attempts_per_s, now_s)
+        next_start_s = min(
+            state.pacer.wait_s(now_s) for state in usable_backends
+        )
         return max(queue_wait_s, next_start_s)
 
     def immediate_denial(
-        self, request: PermitRequest, now_s: float
+        self, request: PermitRequest, now_s: float, cold_pace: AttemptPace
     ) -> PermitDenial | None:
         """Return the denial of a request that should not be queued.
 
@@ -121,10 +132,11 @@
         end before its deadline; if the request may be redirected, before its
         latency objective.
         """
-        if not self.open_backends(now_s):
-            return self._denial_until_open(request, now_s)
+        denial = self._denial_if_unusable(request, now_s, cold_pace)
+        if denial is not None:
+            return denial
         queue = self.queue
-        wait_s = self.expected_wait_s(len(queue), request, now_s)
+        wait_s = self.expected_wait_s(len(queue), request, now_s, cold_pace)
         end_s = now_s + wait_s + queue.typical_service_time_s(request)
         if request.may_redirect and end_s > request.objective_at_s:
             return PermitDenial(request, DenialReason.OTHER_DOMAIN)
@@ -138,14 +150,16 @@
         ahead: int,
         candidates: Candidates,
         now_s: float,
+        cold_pace: AttemptPace,
     ) -> PermitDenial | None:
         """Return the denial of a queued request that should wait no longer.
 
         ``ahead`` is the number of requests in front of it. Returns ``None``
         if the request should keep waiting.
         """
-        if not self.open_backends(now_s):
-            return self._denial_until_open(request, now_s)
+        denial = self._denial_if_unusable(request, now_s, cold_pace)
+        if denial is not None:
+            return denial
         waited_s = now_s - request.requested_s
         typical_service_time_s = self.queue.typical_service_time_s(request)
         if request.may_redirect and waited_s > REDIRECT_AFTER_S:
@@ -156,7 +170,7 @@
                 request
             ):
                 return PermitDenial(request, DenialReason.OVERLOADED)
-        wait_s = self.expected_wait_s(ahead, request, now_s)
+        wait_s = self.expected_wait_s(ahead, request, now_s, cold_pace)
         if (
             ahead
             and now_s + wait_s + typical_service_time_s > request.deadline_at_s
@@ -164,21 +178,39 @@
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
 
-    def _denial_until_open(
-        self, request: PermitRequest, now_s: float
-    ) -> PermitDenial:
-        """Return the denial while no server takes requests.
+    def _usable_backends(
+        self, now_s: float, cold_pace: AttemptPace
+    ) -> list[BackendState]:
+        """Return the open servers of which this broker has a part."""
+        return [
+            server
+            for server in self.open_backends(now_s)
+            if server.pacer.rate_per_s != 0
+            and (cold_pace.attempts or not server.is_cold(now_s))
+        ]
+
+    def _denial_if_unusable(
+        self, request: PermitRequest, now_s: float, cold_pace: AttemptPace
+    ) -> PermitDenial | None:
+        """Return the denial while this broker may use no server.
 
-        The time to retry is when the first pause ends. It is spread, so that
-        the callers do not all come back at that moment.
+        The time to retry is when the first pause or warm-up ends. It is
+        spread, so that the callers do not all come back at that moment.
         """
-        opens_s = min(
-            (server.closed_until_s for server in self.backend_states),
+        if self._usable_backends(now_s, cold_pace):
+            return None
+        is_closed = not self.open_backends(now_s)
+        if not is_closed and request.may_redirect:
+            return PermitDenial(request, DenialReason.OTHER_DOMAIN)
+        usable_s = min(
+            (server.usable_from_s(now_s) for server in self.backend_states),
             default=float('inf'),
         )
-        if opens_s == float('inf'):
-            return PermitDenial(request, DenialReason.NO_BACKEND)
+        reason = (
+            DenialReason.NO_BACKEND if is_closed else DenialReason.OVERLOADED
+        )
+        if usable_s == float('inf'):
+            return PermitDenial(request, reason)
         self._denied_count += 1
         spread_s = RETURN_SPREAD_S * modf(self._denied_count * _SPREAD_STEP)[0]
-        retry_after_s = opens_s - now_s + spread_s
-        return PermitDenial(request, DenialReason.NO_BACKEND, retry_after_s)
+        return PermitDenial(request, reason, usable_s - now_s + spread_s)
--- /dev/null
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
@@ -0,0 +1,66 @@
+"""A broker's part of a rate that all VMs may use together.
+
+Brokers that do not hear each other each use the part that their share of the
+failure domain stands for. Parts below one attempt a second are not used,
+since the attempts of many such brokers may fall into the same second. Only a
+broker that hears more than half of the domain uses a part that small: there
+is at most one of them in any division of the domain.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MIN_RATE_PER_S = 0.25
+"""Rate at which a server is used that accepts less or nothing.
+
+Only a response tells that a limit has ended.
+"""
+
+UNUSED_RECHECK_S = 1.0
+"""Seconds after which a caller may ask again for a server without a part."""
+
+RATE_WINDOW_S = 1.1
+"""Seconds in which a broker grants the attempts of one second.
+
+The difference covers permits that reach their servers with different delays.
+"""
+
+MAX_WINDOW_S = RATE_WINDOW_S / (MIN_RATE_PER_S / 2)
+"""Longest window of a pace: that of the smallest rate and a bare majority."""
+
+_MAJORITY_SHARE = 0.5
+_MIN_PART_PER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptPace:
+    """Maximum number of attempts in a sliding window of ``window_s``."""
+
+    attempts: int
+    window_s: float
+
+    @property
+    def per_s(self) -> float:
+        """Attempts in a second, on average."""
+        return self.attempts / self.window_s
+
+
+def part_per_s(rate_per_s: float, share: float) -> float:
+    """Return the part of a rate that a share from 0 to 1 stands for.
+
+    It is 0 if the part may not be used.
+    """
+    part = max(rate_per_s, MIN_RATE_PER_S) * share
+    is_usable = part >= _MIN_PART_PER_S or share > _MAJORITY_SHARE
+    return part if is_usable else 0
+
+
+def attempt_pace(rate_per_s: float, share: float) -> AttemptPace:
+    """Return the attempts that a broker with a share may grant."""
+    part = part_per_s(rate_per_s, share)
+    if part >= 1:
+        return AttemptPace(int(part), RATE_WINDOW_S)
+    if not part:
+        return AttemptPace(0, RATE_WINDOW_S)
+    return AttemptPace(1, RATE_WINDOW_S / part)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -81,16 +81,14 @@
                 )
         self._last_grant_s = now_s if is_backlog else None
 
-    def wait_s(
-        self, ahead: int, slots: float, request: PermitRequest, now_s: float
-    ) -> float:
+    def wait_s(self, ahead: int, min_interval_s: float, now_s: float) -> float:
         """Return the expected wait in seconds behind ``ahead`` requests.
 
         Based on the recent interval between grants, or the time since the
         last grant if that is longer, but at least the interval that the
-        slots would allow at normal speed.
+        servers allow at normal speed.
         """
-        interval_s = self.typical_service_time_s(request) / slots
+        interval_s = min_interval_s
         if self._last_grant_s is not None:
             since_last_grant_s = now_s - self._last_grant_s
             interval_s = max(
--- a/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
@@ -11,12 +11,22 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from turmericpost_core.membership.heartbeat_period import lost_after_s
+from turmericpost_core.membership.heartbeat_period import (
+    heartbeat_period_s,
+    lost_after_s,
+)
 from turmericpost_core.membership.ring import rendezvous_owners
 
 MAX_DIGEST_AGE_S = 4.0
 """Maximum age of a valid digest: four missed digests in a row."""
 
+MAX_RANKED_DIGEST_AGE_S = 8.0
+"""Maximum age of a digest by which VMs are still ranked.
+
+Longer than a VM of the largest planned domain needs to find that the sender
+of the digests is lost, and to send the next one.
+"""
+
 SETTLED_S = 2.0
 """Time after the start of a VM in which its view may be incomplete.
 
@@ -89,6 +99,11 @@
         """Number of own-domain VMs that get heartbeats, plus this one."""
         return len(self.heartbeat_targets(self.own.failure_domain)) + 1
 
+    @property
+    def heartbeat_period_s(self) -> float:
+        """Return the seconds between heartbeats in the own domain."""
+        return heartbeat_period_s(self.heartbeat_vm_count)
+
     @property
     def lost_after_s(self) -> float:
         """Silence in seconds after which a VM of the domain counts as lost."""
@@ -184,10 +199,15 @@
         )
         return (self.own, *others, *digest_vms)
 
-    def live_members(self, now_s: float) -> tuple[tuple[Vm, VmReadiness], ...]:
-        """Return the live VMs of the own domain with their readiness."""
+    def live_members(
+        self, now_s: float, grace_s: float = 0
+    ) -> tuple[tuple[Vm, VmReadiness], ...]:
+        """Return the live VMs of the own domain with their readiness.
+
+        VMs that were lost less than ``grace_s`` seconds ago are included.
+        """
         domain = self.own.failure_domain
-        timeout_s = self.lost_after_s
+        timeout_s = self.lost_after_s + grace_s
         peers = tuple(
             (known_vm.vm, known_vm.readiness)
             for known_vm in self._known_vms.values()
@@ -216,12 +236,7 @@
 
         For another domain they are those of its last valid digest.
         """
-        if failure_domain == self.own.failure_domain:
-            return self.live_members(now_s)
-        digest = self._digests.get(failure_domain)
-        if digest is None or now_s - digest.created_s > MAX_DIGEST_AGE_S:
-            return ()
-        return digest.vms
+        return self._heard_vms(failure_domain, now_s, MAX_DIGEST_AGE_S)
 
     def ready(self, failure_domain: str, now_s: float) -> tuple[Vm, ...]:
         """Return the live VMs of a domain that accept calls."""
@@ -240,16 +255,44 @@
         """Return the live VMs of a domain in rendezvous order for a subject.
 
         The first one is responsible for the subject, such as a pool of
-        permits. Leaving VMs come last. Without any live VM the result is
-        this VM alone.
+        permits. Leaving VMs come last. Another domain is ranked by its last
+        digest for a while after that is too old to tell who is live. Without
+        any live VM the result is this VM alone.
         """
-        found = self.live_in_domain(failure_domain, now_s)
-        staying = _ranked(subject, found, is_leaving=False)
-        leaving = _ranked(subject, found, is_leaving=True)
-        return (*staying, *leaving) or (self.own,)
+        found = self._heard_vms(failure_domain, now_s, MAX_RANKED_DIGEST_AGE_S)
+        return _ranked(subject, found) or (self.own,)
+
+    def own_rank(self, subject: str, now_s: float, grace_s: float) -> int:
+        """Return the rank of this VM in its own domain, 0 for the first.
+
+        VMs that were lost less than ``grace_s`` seconds ago keep their rank.
+        """
+        found = self.live_members(now_s, grace_s)
+        names = [vm.name for vm in _ranked(subject, found)]
+        return names.index(self.own.name)
+
+    def _heard_vms(
+        self, failure_domain: str, now_s: float, max_digest_age_s: float
+    ) -> tuple[tuple[Vm, VmReadiness], ...]:
+        if failure_domain == self.own.failure_domain:
+            return self.live_members(now_s)
+        digest = self._digests.get(failure_domain)
+        if digest is None or now_s - digest.created_s > max_digest_age_s:
+            return ()
+        return digest.vms
 
 
 def _ranked(
+    subject: str, found: Iterable[tuple[Vm, VmReadiness]]
+) -> tuple[Vm, ...]:
+    found = tuple(found)
+    return (
+        *_ranked_part(subject, found, is_leaving=False),
+        *_ranked_part(subject, found, is_leaving=True),
+    )
+
+
+def _ranked_part(
     subject: str,
     found: Iterable[tuple[Vm, VmReadiness]],
     *,
--- a/packages/turmericpost-core/tests/grants/domain_vm.py
+++ b/packages/turmericpost-core/tests/grants/domain_vm.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from datetime import UTC, datetime
 from typing import Any, TypeAlias
 from typing import Protocol as Interface
 
@@ -26,6 +27,7 @@
     ProbeRequest,
     ReportedLoad,
 )
+from turmericpost_core.grants.pool_lead import PoolLead, pool_subject
 from turmericpost_core.grants.rate_limits import pool_of
 from turmericpost_core.grants.visible_share import VisibleShare
 from turmericpost_core.membership.domain_view import (
@@ -40,7 +42,6 @@
 RETRY_LIMITS = RetryLimits(ratio=0.2, slack=60, window_s=10, slack_share=0.1)
 SWEEP_INTERVAL_S = 0.25
 QUEUE_CHECK_INTERVAL_S = 0.03
-LEADERSHIP_CACHE_S = 0.1
 DIGEST_PERIOD_S = 1.0
 DIGEST_SENDER_SUBJECT = 'digests'
 
@@ -107,20 +108,27 @@
         self.client = SimulatedClient(self)
         self.broker = Broker(f'{own.name}.{own.started_ms}', RETRY_LIMITS)
         self.broker.install_services(services)
-        self.broker.leads = self.leads
+        self.broker.lead_share = PoolLead(self, self.view).share
         self._started_s = started_s
         self._visible_share = VisibleShare()
         self._pause_tracker = PauseTracker(fleet.now_s)
         self.broker.is_settling = self._pause_tracker.is_settling
         self._is_check_scheduled = False
         self._digests_sent_s = float('-inf')
-        self._cached_leads: dict[Pool, tuple[float, bool]] = {}
         self._cached_ranks: dict[Pool, tuple[float, _Names]] = {}
 
     @property
     def now_s(self) -> float:
         return self.fleet.now_s
 
+    def monotonic_s(self) -> float:
+        """Return the time; the VM is the clock of its components."""
+        return self.now_s
+
+    def utc_now(self) -> datetime:
+        """Return the time of day, which nothing here depends on."""
+        return datetime.fromtimestamp(self.now_s, UTC)
+
     def start(self, first_heartbeat_s: float) -> None:
         """Start the periodic actions."""
         self._sweep()
@@ -143,19 +151,13 @@
         cached = self._cached_ranks.get(pool)
         if cached is None or cached[0] != self.now_s:
             service, domain = pool
-            ranked = self.view.ranked(f'{service}@{domain}', domain, self.now_s)
+            ranked = self.view.ranked(
+                pool_subject(service, domain), domain, self.now_s
+            )
             cached = self.now_s, tuple(vm.name for vm in ranked)
             self._cached_ranks[pool] = cached
         return cached[1]
 
-    def leads(self, pool: Pool) -> bool:
-        """Return whether this VM is the first in rank, as ``Leadership``."""
-        cached = self._cached_leads.get(pool)
-        if cached is None or self.now_s - cached[0] > LEADERSHIP_CACHE_S:
-            cached = self.now_s, self.ranked(pool)[0] == self.name
-            self._cached_leads[pool] = cached
-        return cached[1]
-
     def install(self, backend: Backend) -> None:
         """Record a registration of a backend server."""
         known = self.registry.get(backend.backend_id)
--- a/packages/turmericpost-core/tests/grants/test_cold_rate_by_parts.py
+++ b/packages/turmericpost-core/tests/grants/test_cold_rate_by_parts.py
@@ -10,6 +10,7 @@
 
 import sys
 import unittest
+from datetime import UTC, datetime
 from unittest.mock import patch
 
 from tests.grants.history import max_count_in_window
@@ -20,16 +21,16 @@
     new_request,
     reported_load,
 )
-from turmericpost_core.grants.backend_state import BackendState
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
     Decision,
     PermitGrant,
-    Pool,
     ProbeRequest,
 )
+from turmericpost_core.grants.pool_lead import PoolLead, pool_subject
+from turmericpost_core.grants.rate_share import RATE_WINDOW_S, AttemptPace
 from turmericpost_core.grants.visible_share import VisibleShare
 from turmericpost_core.membership.domain_view import (
     SETTLED_S,
@@ -62,12 +63,12 @@
         self.view.own_readiness = VmReadiness.READY
         self.broker: Broker = new_broker(0, name=f'{name}.1')
         self.broker.install_backends([backend(0, cold_left_s=COLD_S)], 0)
-        self.broker.leads = self._leads
+        self.broker.lead_share = PoolLead(self, self.view).share
         self._visible_share = VisibleShare()
 
     def broker_name(self) -> str:
         """Return the VM to which this one sends its permit requests."""
-        subject = f'{SPEC.name}@{DOMAIN}'
+        subject = pool_subject(SPEC.name, DOMAIN)
         return self.view.ranked(subject, DOMAIN, self.now_s)[0].name
 
     def hear(self, others: list[PartedVm], now_s: float) -> None:
@@ -78,8 +79,13 @@
         share = self.view.live_share(SETTLED_S + now_s, now_s)
         self.broker.visible_share = self._visible_share.record(share, now_s)
 
-    def _leads(self, _pool: Pool) -> bool:
-        return self.broker_name() == self.view.own.name
+    def monotonic_s(self) -> float:
+        """Return the time; the VM is the clock of its components."""
+        return self.now_s
+
+    def utc_now(self) -> datetime:
+        """Return the time of day, which nothing here depends on."""
+        return datetime.fromtimestamp(self.now_s, UTC)
 
 
 class PartedDomain:
@@ -167,9 +173,10 @@
         self.assertGreaterEqual(self.worst[1], 1)
 
     # Guards against a table that counts nothing.
-    def test_check_detects_a_missing_cold_rate_limit(self) -> None:
-        with patch.object(
-            BackendState, 'is_within_cold_rate', return_value=True
+    def test_check_detects_a_least_rate_for_each_broker(self) -> None:
+        least = AttemptPace(1, RATE_WINDOW_S)
+        with patch(
+            'turmericpost_core.grants.broker.attempt_pace', return_value=least
         ):
             self.assertGreater(
                 PartedDomain(PARTS[-1]).max_in_a_second(), MAX_IN_A_SECOND
--- a/packages/turmericpost-core/tests/grants/test_silent_leader.py
+++ b/packages/turmericpost-core/tests/grants/test_silent_leader.py
@@ -42,7 +42,7 @@
         self._brokers = [self._broker(one) for one in range(BROKERS)]
         if not everyone_leads:
             for broker in self._brokers[1:]:
-                broker.leads = _never_leads
+                broker.lead_share = _never_leads
 
     def run(self) -> SilentLeaderSimulation:
         for number in range(CALLS_PER_S * DURATION_S):
@@ -98,8 +98,8 @@
         return is_shed
 
 
-def _never_leads(_pool: object) -> bool:
-    return False
+def _never_leads(_pool: object) -> float:
+    return 0
 
 
 def _request_permit(
--- a/packages/turmericpost-core/tests/membership/test_domain_view.py
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -11,6 +11,7 @@
 )
 from turmericpost_core.membership.domain_view import (
     MAX_DIGEST_AGE_S,
+    MAX_RANKED_DIGEST_AGE_S,
     DomainDigest,
     DomainView,
     Vm,
@@ -26,6 +27,7 @@
     retry_pause_s,
 )
 
+_DIGEST_PERIOD_S = 1.0
 _REGIONS = {'nasr': 'cairo', 'giza': 'cairo', 'smouha': 'alex'}
 
 
@@ -107,8 +109,23 @@
         self.assertEqual(own_view.ranked('s', 'giza', 1)[0].name, 'g')
         late_s = MAX_DIGEST_AGE_S + 1
         self.assertEqual(own_view.ready('giza', late_s), ())
+        late_s = MAX_RANKED_DIGEST_AGE_S + 1
         self.assertEqual(own_view.ranked('s', 'giza', late_s), (own_view.own,))
 
+    # Guards against VMs of all other domains that broker the pools of a large
+    # domain themselves until its next digest sender takes over.
+    def test_old_digest_still_ranks_until_the_next_sender_takes_over(
+        self,
+    ) -> None:
+        own_view = view()
+        own_view.record_digest(
+            DomainDigest('giza', 0, ((vm('g'), VmReadiness.READY),))
+        )
+        for vms in (5, 20, 38, 60, 77):
+            next_digest_s = 2 * _DIGEST_PERIOD_S + lost_after_s(vms)
+            ranked = own_view.ranked('s', 'giza', next_digest_s)
+            self.assertEqual([one.name for one in ranked], ['g'], vms)
+
 
 class StoreReaderSelectionTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/backend_status_log.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/backend_status_log.py
@@ -15,6 +15,7 @@
 )
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.permits import Pool
+from turmericpost_core.grants.pool_lead import pool_subject
 
 USE_LOG_INTERVAL_S = 4.0
 """Interval of the lines about the use of a server with a rate limit."""
@@ -115,7 +116,7 @@
             )
 
     def _log_broker(self, service: str, domain: str, now_s: float) -> None:
-        subject = f'{service}@{domain}'
+        subject = pool_subject(service, domain)
         broker = self._peers.view.ranked(subject, domain, now_s)[0].name
         previous = self._logged_brokers.get((service, domain))
         if broker != previous:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/brokered_pools.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/brokered_pools.py
@@ -110,13 +110,14 @@
             return
         pool = self._pools[pool_id]
         service, domain = pool_id
+        census = take_census(self._view, domain, now_s)
         fields: dict[str, object] = {
             'change': change,
             'service': service,
             'domain': domain,
-            'why': self._why(pool, domain, requester),
+            'why': self._why(pool, domain, requester, census.heard),
             **_rounded(asdict(pool.terms)),
-            **_rounded(asdict(take_census(self._view, domain, now_s))),
+            **_rounded(asdict(census)),
             'grants': pool.grants,
             'without_lead': pool.without_lead,
         }
@@ -124,15 +125,22 @@
         pool.without_lead = 0
         self._waiting.append((now_s, fields))
 
-    def _why(self, pool: _BrokeredPool, domain: str, requester: str) -> str:
+    def _why(
+        self,
+        pool: _BrokeredPool,
+        domain: str,
+        requester: str,
+        heard: int,
+    ) -> str:
         own = self._view.own
         if not requester:
             return 'no-grants'
-        if not pool.terms.leads:
-            is_own = requester == own.name
-            return 'others-silent' if is_own else 'asked-by-other-vm'
-        is_own_domain = domain == own.failure_domain
-        return 'first-in-rank' if is_own_domain else 'no-valid-digest'
+        if domain != own.failure_domain and not heard:
+            return 'no-valid-digest'
+        if pool.terms.leads:
+            return 'first-in-rank'
+        is_own = requester == own.name
+        return 'others-silent' if is_own else 'asked-by-other-vm'
 
 
 def _rounded(fields: dict[str, object]) -> dict[str, object]:
--- a/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/call_path.py
@@ -14,7 +14,6 @@
 from turmericpost.gateway.gateway_metrics import GatewayMetrics
 from turmericpost.gateway.grant_log import GrantLog
 from turmericpost.gateway.ingress import Ingress
-from turmericpost.gateway.leadership import Leadership
 from turmericpost.gateway.permit_client import PermitClient
 from turmericpost.gateway.probes import BackendProber
 from turmericpost.gateway.settings import GatewaySettings
@@ -23,6 +22,7 @@
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.limits import RetryLimits
+from turmericpost_core.grants.pool_lead import PoolLead
 
 SLACK_SHARE = 0.5
 """Share of ``retry_slack`` that all brokers of a service may use together. The
@@ -69,7 +69,9 @@
         lambda service: _health_path(dependencies.state, service),
     )
     broker = _new_broker(dependencies)
-    broker.leads = Leadership(dependencies.clock, dependencies.peers.view).leads
+    broker.lead_share = PoolLead(
+        dependencies.clock, dependencies.peers.view
+    ).share
     grant_log = GrantLog(
         dependencies.clock, dependencies.peers.view, dependencies.metrics
     )
--- a/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/permit_client.py
@@ -29,6 +29,7 @@
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.limits import UNLISTED_GRACE_S
 from turmericpost_core.grants.permits import AttemptReport, DenialReason
+from turmericpost_core.grants.pool_lead import pool_subject
 from turmericpost_core.grants.rate_limits import RateLimitStatement
 from turmericpost_core.membership.domain_view import Vm
 
@@ -344,8 +345,9 @@
         domain: str,
         now_s: float,
     ) -> tuple[Vm, ...]:
-        subject = f'{service}@{domain}'
-        return self._peers.view.ranked(subject, domain, now_s)
+        return self._peers.view.ranked(
+            pool_subject(service, domain), domain, now_s
+        )
 
     def _find_vm(self, name: str) -> Vm | None:
         for vm in self._peers.view.known():
--- a/packages/turmericpost-entry/tests/gateway/test_grant_log.py
+++ b/packages/turmericpost-entry/tests/gateway/test_grant_log.py
@@ -30,6 +30,8 @@
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
+    Decision,
+    PermitDenial,
     PermitGrant,
     PermitRequest,
     ReportedLoad,
@@ -47,9 +49,7 @@
         self.broker = Broker('own.5', RetryLimits(0.2, 60, 10, 0.1))
         self.broker.observer = self.grant_log
         self.broker.visible_share = 0.9
-        self.broker.install_services(
-            {'press': ServiceSpec('press', '/health', 260, 3, 3)}
-        )
+        self._install_pace(3)
         self.broker.install_backends([backend(1)], self.now_s)
         self.request_count = 0
         self.logged = self._patch('turmericpost.gateway.grant_log.log_event')
@@ -101,12 +101,9 @@
         self.assertFalse(line['is_known_cold'])
         self.assertEqual(line['warm_report_s'], 2)
 
-    # Guards against the least rate of one attempt a second that a broker
-    # allows without any share, and whose users no line named.
-    def test_permit_without_lead_shows_the_rate_allowed_without_a_share(
-        self,
-    ) -> None:
-        self.broker.leads = lambda _pool: False
+    def test_permit_without_lead_shows_the_part_that_is_allowed(self) -> None:
+        self._install_pace(10)
+        self.broker.lead_share = lambda _pool: 0.25
         self._report(cold_left_s=5)
         self._grant()
         (line,) = self._lines(LogEvent.COLD_PERMIT_GRANTED)
@@ -114,7 +111,15 @@
             line[name]
             for name in ('leads', 'share', 'cold_per_s', 'allowed_in_s')
         ]
-        self.assertEqual(shown, [False, 0, 0, 1])
+        self.assertEqual(shown, [False, 0.225, 2.25, 2])
+
+    # Guards against a least rate of one attempt a second for each VM that is
+    # asked, which adds up over the VMs of a domain.
+    def test_cold_server_gets_no_permit_without_a_share(self) -> None:
+        self.broker.lead_share = lambda _pool: 0
+        self._report(cold_left_s=5)
+        self.assertIsInstance(self._decision(), PermitDenial)
+        self.assertEqual(self.metrics.cold_permits, {})
 
     def test_resent_request_is_counted_once(self) -> None:
         self._report(cold_left_s=5)
@@ -123,11 +128,12 @@
         self.assertEqual(self.metrics.cold_permits, {'lead': 1})
 
     def test_cold_permits_are_counted_by_lead_and_domain(self) -> None:
+        self._install_pace(10)
         self._report(cold_left_s=60)
         for domain in ('nasr', 'giza'):
             self.broker.observer = self._new_grant_log(domain)
-            for leads in (True, False):
-                self.broker.leads = lambda _pool, leads=leads: leads
+            for share in (1, 0.25):
+                self.broker.lead_share = lambda _pool, share=share: share
                 self.reactor.advance(2)
                 self._report(cold_left_s=60)
                 self._grant()
@@ -207,6 +213,10 @@
             ],
         )
 
+    def _install_pace(self, cold_per_s: float) -> None:
+        spec = ServiceSpec('press', '/health', 260, 3, cold_per_s)
+        self.broker.install_services({'press': spec})
+
     def _patch(self, name: str) -> Any:
         patcher = patch(name)
         self.addCleanup(patcher.stop)
@@ -226,6 +236,13 @@
         )
 
     def _grant(self) -> PermitGrant:
+        grant = self._decision()
+        assert isinstance(grant, PermitGrant)
+        unused = AttemptReport(AttemptOutcome.UNUSED)
+        self.broker.release_permit(grant.permit_id, unused, self.now_s)
+        return grant
+
+    def _decision(self) -> Decision:
         self.request_count += 1
         now_s = self.now_s
         request = PermitRequest(
@@ -239,11 +256,8 @@
             objective_at_s=now_s + 1,
             deadline_at_s=now_s + 3,
         )
-        (grant,) = self.broker.request(request, now_s)
-        assert isinstance(grant, PermitGrant)
-        unused = AttemptReport(AttemptOutcome.UNUSED)
-        self.broker.release_permit(grant.permit_id, unused, now_s)
-        return grant
+        (decision,) = self.broker.request(request, now_s)
+        return decision
 
     def _lines(self, event: LogEvent) -> list[dict[str, Any]]:
         return [
@@ -276,10 +290,9 @@
         self._grant()
         metrics = self._metrics()
         for line in (
-            'turmericpost_pools_led 1.0',
-            'turmericpost_pools_brokered_without_lead 0.0',
-            'turmericpost_cold_permits_in_s_max 1.0',
-            'turmericpost_cold_permits_total{by="other-domain-lead"} 1.0',
+            'turmericpost_pools_led 0.0',
+            'turmericpost_pools_brokered_without_lead 1.0',
+            'turmericpost_cold_permits_in_s_max 0.0',
         ):
             self.assertIn(line, metrics)
 
@@ -287,7 +300,7 @@
         broker = self.node.call_path.broker_service.broker
         now_s = self.node.clock.monotonic_s()
         broker.install_backends([backend(1)], now_s)
-        load = ReportedLoad(0, 0, 3, cold_left_s=5)
+        load = ReportedLoad(0, 0, 3, cold_left_s=0)
         broker.record_probe('b1', load, now_s, is_healthy=True)
         times_s = (now_s, now_s, now_s + 1, now_s + 2)
         request = PermitRequest(
