--- a/packages/turmericpost-core/tests/grants/availability_history.py
+++ b/packages/turmericpost-core/tests/grants/availability_history.py
@@ -1,6 +1,6 @@
 """Seeded simulation of VMs and servers that leave or ask for pauses.
 
-Three VMs share two servers. Each VM has a clock of its own, a table of what
+Three to 40 VMs share two servers. Each VM has a clock of its own, a table of what
 servers stated to it, and a broker; at times a VM uses the broker of another one,
 which may know nothing. Servers start again under the same id, and addresses go
 to other servers. Responses are lost, doubled or late, permits are used late,
@@ -21,6 +21,7 @@
     new_request,
     reported_load,
 )
+from tests.grants.sizes import draw_size
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.grants.broker import Broker
 from turmericpost_core.grants.permits import (
@@ -36,7 +37,6 @@
     pool_of,
 )
 
-VMS = 3
 SERVERS = 2
 STEP_S = 0.05
 STEPS = 80
@@ -91,12 +91,13 @@
         self.arrivals: list[SentRequest] = []
         self._random = Random(seed)
         self._now_s = START_S
-        self._skews_s = [self._random.uniform(-50, 50) for _ in range(VMS)]
-        self._vm_lives = [0] * VMS
+        self._vms = range(draw_size(seed).vms)
+        self._skews_s = [self._random.uniform(-50, 50) for _ in self._vms]
+        self._vm_lives = [0 for _ in self._vms]
         self._servers = [backend(number) for number in range(SERVERS)]
         self._leaving: set[tuple[str, int]] = set()
         self._pauses_s: dict[tuple[str, int], float] = {}
-        self._brokers = [self._new_broker(vm) for vm in range(VMS)]
+        self._brokers = [self._new_broker(vm) for vm in self._vms]
         self._in_flight: list[tuple[float, int, int, PermitGrant]] = []
         self._delayed: list[tuple[float, int, int, PermitGrant]] = []
         self._calls = 0
@@ -105,7 +106,7 @@
         for _ in range(STEPS):
             self._now_s += STEP_S
             self._inject_faults()
-            for vm in range(VMS):
+            for vm in self._vms:
                 if self._happens(ARRIVAL_PROBABILITY):
                     self._send_call(vm)
             self._use_delayed_permits()
@@ -139,7 +140,7 @@
             if self._happens(START_PROBABILITY):
                 self._start_server(number)
         if self._happens(VM_RESTART_PROBABILITY):
-            vm = self._random.randrange(VMS)
+            vm = self._random.choice(self._vms)
             self._vm_lives[vm] += 1
             self._brokers[vm] = self._new_broker(vm)
             self._in_flight = [one for one in self._in_flight if one[1] != vm]
@@ -159,7 +160,7 @@
     def _send_call(self, vm: int) -> None:
         self._calls += 1
         is_foreign = self._happens(FOREIGN_BROKER_PROBABILITY)
-        broker_vm = self._random.randrange(VMS) if is_foreign else vm
+        broker_vm = self._random.choice(self._vms) if is_foreign else vm
         now_s = self._clock_s(broker_vm)
         request = new_request(
             0,
