Share limits that servers state without a floor for each broker

What callers saw: nothing yet; the same cause as that of flooded cold servers.

Cause: each broker used at least a quarter of a limit that a server states (MIN_RATE_LIMIT_SHARE), also one that does not lead or that stands alone, so the sum grew with the number of brokers. Change: rate_pacer uses the same part of a rate as the cold pace. The second in rank has a quarter, others nothing; a broker without a part refuses at once. Test replaced: the broken build in which all brokers use the whole limit now lets part_per_s return it, as the constant is gone. Conclusion: no limit on requests to a server rests on a floor for each VM.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -31,7 +31,6 @@
     IgnoringObserver,
 )
 from turmericpost_core.grants.limits import (
-    MIN_RATE_LIMIT_SHARE,
     RetryLimits,
 )
 from turmericpost_core.grants.permit_table import PermitTable
@@ -396,7 +395,7 @@
 
     def _apply_statements(self, pool: Pool, now_s: float) -> None:
         """Apply what the servers of a pool have stated to their states."""
-        share = max(self._own_share(pool), MIN_RATE_LIMIT_SHARE)
+        share = self._own_share(pool)
         for server in self._pool(pool).backend_states:
             limit = self.rate_limits.limit_of(server.backend)
             server.pacer.set_limit(limit, share, now_s)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/limits.py
@@ -101,14 +101,6 @@
 """
 
 
-MIN_RATE_LIMIT_SHARE = 0.25
-"""Share of a server's rate limit that a broker may always use.
-
-A VM that has just started, or that requests come to while the leader of the
-pool does not reply, would otherwise leave the servers unused.
-"""
-
-
 @dataclass(frozen=True)
 class RetryLimits:
     """Limits on the retries of one service over all VMs.
--- a/packages/turmericpost-core/src/turmericpost_core/grants/rate_pacer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_pacer.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-BURST_S = 0.5
-"""Seconds of the permitted rate that may be used at once after a pause."""
+from math import inf
 
-MIN_RATE_PER_S = 0.25
-"""Rate at which a server is used that accepts less or nothing.
+from turmericpost_core.grants.rate_share import part_per_s
 
-Only a response tells that a limit has ended.
-"""
+BURST_S = 0.5
+"""Seconds of the permitted rate that may be used at once after a pause."""
 
 
 class RatePacer:
@@ -27,14 +25,17 @@
     def set_limit(
         self, requests_per_s: float | None, share: float, now_s: float
     ) -> None:
-        """Set the limit, ``None`` if there is none, and the share to use."""
+        """Set the limit, ``None`` if there is none, and the share to use.
+
+        The rate is 0 if the share allows no use of the server.
+        """
         if requests_per_s is None:
             self.rate_per_s = None
             return
         tokens = float(0)
         if self.rate_per_s is not None:
             tokens = self._tokens_at(now_s, self.rate_per_s)
-        self.rate_per_s = share * max(requests_per_s, MIN_RATE_PER_S)
+        self.rate_per_s = part_per_s(requests_per_s, share)
         self._tokens = tokens
         self._updated_s = now_s
 
@@ -42,6 +43,8 @@
         """Return the seconds until the next attempt may start, 0 if it may."""
         if self.rate_per_s is None:
             return 0
+        if not self.rate_per_s:
+            return inf
         missing = 1 - self._tokens_at(now_s, self.rate_per_s)
         return max(missing / self.rate_per_s, 0)
 
--- a/packages/turmericpost-core/tests/grants/test_cold_pool.py
+++ b/packages/turmericpost-core/tests/grants/test_cold_pool.py
@@ -14,6 +14,12 @@
     PermitGrant,
 )
 from turmericpost_core.grants.pool_state import RETURN_SPREAD_S
+from turmericpost_core.grants.rate_limits import (
+    RateLimitStatement,
+    instance_of,
+    pool_of,
+)
+from turmericpost_core.grants.rate_share import UNUSED_RECHECK_S
 
 _COLD_S = 5.0
 
@@ -48,6 +54,27 @@
         self.assertEqual(len(denials), grants.count(None))
         self.assertTrue(denials)
 
+    # Guards against a wait without end, or a division by a rate of zero.
+    def test_call_is_refused_for_a_second_if_all_servers_state_limits(
+        self,
+    ) -> None:
+        self.broker.visible_share = 0
+        self._report(cold_left_s=0)
+        for number in range(2):
+            server = backend(number)
+            self.broker.rate_limits.record(
+                pool_of(server),
+                instance_of(server),
+                RateLimitStatement(5, 0),
+            )
+        (denial,) = self.broker.request(new_request(1, 0), 0)
+        assert isinstance(denial, PermitDenial)
+        self.assertIs(denial.reason, DenialReason.OVERLOADED)
+        self.assertGreaterEqual(denial.retry_after_s, UNUSED_RECHECK_S)
+        self.assertLess(
+            denial.retry_after_s, UNUSED_RECHECK_S + RETURN_SPREAD_S
+        )
+
     def test_call_waits_for_its_turn_at_the_cold_rate(self) -> None:
         decisions = [self._request(number) for number in range(7)]
         self.assertIsNone(decisions[-1])
--- a/packages/turmericpost-core/tests/grants/test_rate_limits.py
+++ b/packages/turmericpost-core/tests/grants/test_rate_limits.py
@@ -162,7 +162,10 @@
             self.assertTrue(_any_exceeds())
 
     def test_check_detects_brokers_that_use_the_whole_limit_each(self) -> None:
-        with patch('turmericpost_core.grants.broker.MIN_RATE_LIMIT_SHARE', 1):
+        with patch(
+            'turmericpost_core.grants.rate_pacer.part_per_s',
+            side_effect=lambda rate_per_s, _share: max(rate_per_s, 0.25),
+        ):
             self.assertTrue(_any_exceeds())
 
 
--- a/packages/turmericpost-core/tests/grants/test_rate_pacer.py
+++ b/packages/turmericpost-core/tests/grants/test_rate_pacer.py
@@ -8,11 +8,8 @@
 from hypothesis import strategies as st
 
 from tests.grants.history import max_count_in_window
-from turmericpost_core.grants.rate_pacer import (
-    BURST_S,
-    MIN_RATE_PER_S,
-    RatePacer,
-)
+from turmericpost_core.grants.rate_pacer import BURST_S, RatePacer
+from turmericpost_core.grants.rate_share import MIN_RATE_PER_S
 
 _STEP_S = 0.02
 _WINDOW_S = 4.0
@@ -58,6 +55,15 @@
         pacer.set_limit(2, 1, 0.3)
         self.assertAlmostEqual(pacer.wait_s(0.4), 0.1)
 
+    # Guards against a least share of a limit for each VM, which adds up over
+    # the VMs of a domain.
+    def test_server_is_not_used_without_a_share(self) -> None:
+        pacer = RatePacer()
+        pacer.set_limit(20, 0, 0)
+        self.assertEqual(pacer.wait_s(60), float('inf'))
+        pacer.set_limit(20, 0.5, 60)
+        self.assertAlmostEqual(pacer.wait_s(60), 0.1)
+
     def test_server_that_accepts_nothing_is_tried_every_four_seconds(
         self,
     ) -> None:
