Keep the cold limit of a server after a response without a load report

Cause: one response without a load report made the broker take the server for one that never reports its load. Such a server has no cold limit unless the registry says that it is cold, and is not probed, so it stayed so until another response brought a report. Change: a server that has reported its load once is one that reports it. Conclusion: one of the ways by which a server that turns cold unannounced gets more than its pace.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -88,6 +88,7 @@
         self._attempts_until_warm_report = 0
         self._other_load = 0
         self._recent_attempts_s: deque[float] = deque()
+        self._has_reported_load = False
         self._failures = 0
         self._rejections = 0
         self._is_on_trial = False
@@ -265,6 +266,7 @@
         if reported_load is None:
             return
         self.reports_load = True
+        self._has_reported_load = True
         self.reported_s = now_s
         self.slowness_percent = reported_load.slowness_percent
         total = reported_load.running + reported_load.waiting
@@ -272,6 +274,13 @@
         if reported_load.cold_left_s is not None:
             self.record_cold_time(reported_load.cold_left_s, now_s)
 
+    def record_missing_load(self) -> None:
+        """Record a response without a load report.
+
+        A server that has reported its load once is one that reports it.
+        """
+        self.reports_load = self._has_reported_load
+
     def record_cold_time(self, cold_left_s: float, now_s: float) -> None:
         """Record the remaining warm-up time in seconds, 0 if warm."""
         self._cold_until_s = now_s + cold_left_s
--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -200,7 +200,7 @@
         )
         if attempt_report.outcome is AttemptOutcome.SUCCESS:
             if attempt_report.reported_load is None:
-                server.reports_load = False
+                server.record_missing_load()
             factor = record.slowness_percent / _PERCENT
             queue = self._pool(pool_of(server.backend)).queue
             queue.record_service_time(
@@ -227,7 +227,7 @@
         server.is_healthy = is_healthy
         self._record_load(server, reported_load, now_s, server.permits)
         if reported_load is None:
-            server.reports_load = False
+            server.record_missing_load()
         return self.decide(now_s, pool_of(server.backend))
 
     def record_probe_failure(self, backend_id: str, now_s: float) -> None:
