End the warm report of a server with a failed attempt

Cause: a report that a server is warm holds for 1.5 s. A server that starts again within that time, under its id and before the registry says so, is cold, and the first success lifted its backoff and left it without a cold limit. Change: a failed attempt or probe ends the warm report; a probe brings a new one. Conclusion: a load report of more than 60 ms is asked for again after a backoff anyway, so this sends no more probes.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -347,6 +347,7 @@
         self._rejections += 1
 
     def _back_off(self, now_s: float) -> None:
+        self._reported_warm_s = _NEVER_S
         doublings = min(self._failures, _MAX_DOUBLINGS)
         pause_s = min(FIRST_BACKOFF_S * 2**doublings, MAX_BACKOFF_S)
         self._backoff_until_s = now_s + pause_s
--- a/packages/turmericpost-core/tests/grants/test_missing_load.py
+++ b/packages/turmericpost-core/tests/grants/test_missing_load.py
@@ -56,9 +56,7 @@
                     if not self._reports_load:
                         load = None
                     ended = AttemptReport(AttemptOutcome.SUCCESS, 0.1, load)
-                    self.broker.release_permit(
-                        decision.permit_id, ended, now_s
-                    )
+                    self.broker.release_permit(decision.permit_id, ended, now_s)
             self.broker.cancel(request.permit_request_id)
         return grants
 
