Let the second VM in rank use a small part of a rate in a majority

Cause: whether a part below one attempt a second may be used was decided by the product of visible share and rank, so a quarter of 2.9 a second was nothing. Change: BrokerShare holds both; the majority is that of the VMs heard. Conclusion: a majority has one leader and one second, who stay within 1.25 times the rate.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -51,6 +51,7 @@
 from turmericpost_core.grants.rate_limits import RateLimitTable, pool_of
 from turmericpost_core.grants.rate_share import (
     AttemptPace,
+    BrokerShare,
     attempt_pace,
     part_per_s,
 )
@@ -370,10 +371,10 @@
         return grant
 
     def _terms(self, pool: Pool) -> GrantTerms:
-        share = self._own_share(pool)
+        share = self._broker_share(pool)
         return GrantTerms(
-            self.lead_share(pool) >= 1,
-            share,
+            share.lead >= 1,
+            share.total,
             part_per_s(self._whole_cold_per_s(pool), share),
             self._cold_pace(pool).attempts,
         )
@@ -391,11 +392,14 @@
         server.record_load(reported_load, now_s, own_calls)
 
     def _own_share(self, pool: Pool) -> float:
-        return self.visible_share * self.lead_share(pool)
+        return self._broker_share(pool).total
+
+    def _broker_share(self, pool: Pool) -> BrokerShare:
+        return BrokerShare(self.visible_share, self.lead_share(pool))
 
     def _apply_statements(self, pool: Pool, now_s: float) -> None:
         """Apply what the servers of a pool have stated to their states."""
-        share = self._own_share(pool)
+        share = self._broker_share(pool)
         for server in self._pool(pool).backend_states:
             limit = self.rate_limits.limit_of(server.backend)
             server.pacer.set_limit(limit, share, now_s)
@@ -417,7 +421,7 @@
     def _cold_pace(self, pool: Pool) -> AttemptPace:
         """Return this broker's part of the cold rate limit of a server."""
         cold_per_s = self._whole_cold_per_s(pool)
-        return attempt_pace(cold_per_s, self._own_share(pool))
+        return attempt_pace(cold_per_s, self._broker_share(pool))
 
     def _whole_cold_per_s(self, pool: Pool) -> float:
         spec = self._services.get(pool[0])
--- a/packages/turmericpost-core/src/turmericpost_core/grants/rate_pacer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_pacer.py
@@ -4,7 +4,7 @@
 
 from math import inf
 
-from turmericpost_core.grants.rate_share import part_per_s
+from turmericpost_core.grants.rate_share import BrokerShare, part_per_s
 
 BURST_S = 0.5
 """Seconds of the permitted rate that may be used at once after a pause."""
@@ -23,7 +23,7 @@
         self._updated_s = float(0)
 
     def set_limit(
-        self, requests_per_s: float | None, share: float, now_s: float
+        self, requests_per_s: float | None, share: BrokerShare, now_s: float
     ) -> None:
         """Set the limit, ``None`` if there is none, and the share to use.
 
--- a/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
@@ -26,8 +26,9 @@
 The difference covers permits that reach their servers with different delays.
 """
 
-MAX_WINDOW_S = RATE_WINDOW_S / (MIN_RATE_PER_S / 2)
-"""Longest window of a pace: that of the smallest rate and a bare majority."""
+MAX_WINDOW_S = RATE_WINDOW_S / (MIN_RATE_PER_S / 8)
+"""Longest window of a pace: that of the smallest rate at the second VM in rank
+of a bare majority."""
 
 _MAJORITY_SHARE = 0.5
 _MIN_PART_PER_S = 1.0
@@ -46,17 +47,34 @@
         return self.attempts / self.window_s
 
 
-def part_per_s(rate_per_s: float, share: float) -> float:
-    """Return the part of a rate that a share from 0 to 1 stands for.
+@dataclass(frozen=True, slots=True)
+class BrokerShare:
+    """Share of a failure domain that a broker stands for.
+
+    ``visible`` is the share of the domain's VMs that this VM hears, ``lead``
+    the part of it that its rank allows, both from 0 to 1.
+    """
+
+    visible: float
+    lead: float
+
+    @property
+    def total(self) -> float:
+        """Share of the whole rate."""
+        return self.visible * self.lead
+
+
+def part_per_s(rate_per_s: float, share: BrokerShare) -> float:
+    """Return the part of a rate that a share stands for.
 
     It is 0 if the part may not be used.
     """
-    part = max(rate_per_s, MIN_RATE_PER_S) * share
-    is_usable = part >= _MIN_PART_PER_S or share > _MAJORITY_SHARE
+    part = max(rate_per_s, MIN_RATE_PER_S) * share.total
+    is_usable = part >= _MIN_PART_PER_S or share.visible > _MAJORITY_SHARE
     return part if is_usable else 0
 
 
-def attempt_pace(rate_per_s: float, share: float) -> AttemptPace:
+def attempt_pace(rate_per_s: float, share: BrokerShare) -> AttemptPace:
     """Return the attempts that a broker with a share may grant."""
     part = part_per_s(rate_per_s, share)
     if part >= 1:
