Tell callers to come back soon while this broker has no part

Cause: the time until the server is warm is when this broker may use it at the latest; another broker may use it at once. Change: at most a second, less if the server is warm before. Conclusion: after a second the leader is back, or the next one begins.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -119,15 +119,17 @@
         return self._rejections > _MAX_USUAL_REJECTIONS
 
     def usable_from_s(self, now_s: float) -> float:
-        """Return when a broker that may not use the server now may use it.
+        """Return when a caller may ask again for a server without a part.
 
-        The time is an estimate, infinite if the server leaves.
+        Infinite if the server leaves. It may be long until a server is warm,
+        but another broker may use it before.
         """
         if self.is_closed(now_s):
             return self.closed_until_s
+        recheck_s = now_s + UNUSED_RECHECK_S
         if self.is_cold(now_s):
-            return self._cold_until_s
-        return now_s + UNUSED_RECHECK_S
+            return min(self._cold_until_s, recheck_s)
+        return recheck_s
 
     def close_until(self, availability: Availability | None) -> None:
         """Apply what the server states, ``None`` if it takes requests."""
