Rank by an old digest with its first two VMs only

Cause: a request goes down the rank at 0.16 s a VM; a domain that is lost has 35. Change: after 4 s only the first two in rank are returned; then the VM's own broker decides. Conclusion: a leader is still asked while the next VM takes over the digests.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/domain_view.py
@@ -27,6 +27,13 @@
 of the digests is lost, and to send the next one.
 """
 
+OLD_RANKED_VMS = 2
+"""VMs of a domain that are ranked by a digest that is too old.
+
+If the whole domain is lost, each of them costs a call the time of a broker
+that does not reply.
+"""
+
 SETTLED_S = 2.0
 """Time after the start of a VM in which its view may be incomplete.
 
@@ -255,12 +262,15 @@
         """Return the live VMs of a domain in rendezvous order for a subject.
 
         The first one is responsible for the subject, such as a pool of
-        permits. Leaving VMs come last. Another domain is ranked by its last
-        digest for a while after that is too old to tell who is live. Without
-        any live VM the result is this VM alone.
+        permits. Leaving VMs come last. When the digest of another domain is
+        too old to tell who is live, its first VMs in rank are still returned
+        for a while. Without any VM the result is this VM alone.
         """
+        found = self.live_in_domain(failure_domain, now_s)
+        if found:
+            return _ranked(subject, found)
         found = self._heard_vms(failure_domain, now_s, MAX_RANKED_DIGEST_AGE_S)
-        return _ranked(subject, found) or (self.own,)
+        return _ranked(subject, found)[:OLD_RANKED_VMS] or (self.own,)
 
     def own_rank(self, subject: str, now_s: float, grace_s: float) -> int:
         """Return the rank of this VM in its own domain, 0 for the first.
--- a/packages/turmericpost-core/tests/membership/test_domain_view.py
+++ b/packages/turmericpost-core/tests/membership/test_domain_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from math import ceil
 
 from tests.fleet.test_state import route
 from turmericpost_core.membership.address_choice import (
@@ -10,8 +11,11 @@
     choose_vms,
 )
 from turmericpost_core.membership.domain_view import (
+    FORGET_AFTER_S,
     MAX_DIGEST_AGE_S,
     MAX_RANKED_DIGEST_AGE_S,
+    OLD_RANKED_VMS,
+    SETTLED_S,
     DomainDigest,
     DomainView,
     Vm,
@@ -28,6 +32,7 @@
 )
 
 _DIGEST_PERIOD_S = 1.0
+_LONG_S = FORGET_AFTER_S + 1
 _REGIONS = {'nasr': 'cairo', 'giza': 'cairo', 'smouha': 'alex'}
 
 
@@ -41,6 +46,16 @@
     return own_view
 
 
+def _digest_gap_s(vms: int) -> float:
+    """Return the longest time between digests when their sender is lost.
+
+    Digests leave with the first heartbeat that is a digest period later.
+    """
+    period_s = heartbeat_period_s(vms)
+    interval_s = ceil(_DIGEST_PERIOD_S / period_s) * period_s
+    return interval_s + lost_after_s(vms) + period_s
+
+
 class DomainViewTest(unittest.TestCase):
     def test_silent_vm_is_lost_until_its_next_heartbeat(self) -> None:
         own_view = view()
@@ -102,6 +117,47 @@
         )
         self.assertEqual(len(own_view.live_members(0)), 1)
 
+    # Guards against a VM that is cut off, forgets its domain and counts as the
+    # whole of it.
+    def test_vm_in_a_minority_keeps_the_others(self) -> None:
+        own_view = self._view_after_long_silence(heard=1, silent=3)
+        self.assertEqual(own_view.heartbeat_vm_count, 5)
+        self.assertEqual(own_view.live_share(SETTLED_S, _LONG_S), 0.4)
+
+    def test_vm_in_a_majority_forgets_silent_ones(self) -> None:
+        own_view = self._view_after_long_silence(heard=2, silent=2)
+        self.assertEqual(own_view.heartbeat_vm_count, 3)
+        self.assertEqual(own_view.live_share(SETTLED_S, _LONG_S), 1)
+
+    # Guards against a domain that was made smaller and does not use its servers.
+    def test_vms_that_left_as_planned_are_forgotten_by_a_minority(self) -> None:
+        own_view = self._view_after_long_silence(
+            heard=1, silent=3, readiness=VmReadiness.LEAVING
+        )
+        self.assertEqual(own_view.heartbeat_vm_count, 2)
+
+    def test_vms_that_were_only_reported_are_forgotten(self) -> None:
+        own_view = view()
+        own_view.add_known_vms([vm('a'), vm('b')], 0)
+        own_view.update_liveness(_LONG_S)
+        self.assertEqual(own_view.heartbeat_vm_count, 1)
+
+    def _view_after_long_silence(
+        self,
+        heard: int,
+        silent: int,
+        readiness: VmReadiness = VmReadiness.READY,
+    ) -> DomainView:
+        own_view = view()
+        for number in range(silent):
+            own_view.record_heartbeat(vm(f'silent{number}'), readiness, 0)
+        for number in range(heard):
+            own_view.record_heartbeat(
+                vm(f'heard{number}'), VmReadiness.READY, _LONG_S
+            )
+        own_view.update_liveness(_LONG_S)
+        return own_view
+
     def test_old_digest_is_not_used(self) -> None:
         own_view = view()
         digest = DomainDigest('giza', 0, ((vm('g'), VmReadiness.READY),))
@@ -121,11 +177,21 @@
         own_view.record_digest(
             DomainDigest('giza', 0, ((vm('g'), VmReadiness.READY),))
         )
-        for vms in (5, 20, 38, 60, 77):
-            next_digest_s = 2 * _DIGEST_PERIOD_S + lost_after_s(vms)
+        for vms in (5, 20, 35, 38, 47, 60, 77):
+            next_digest_s = _digest_gap_s(vms)
             ranked = own_view.ranked('s', 'giza', next_digest_s)
             self.assertEqual([one.name for one in ranked], ['g'], vms)
 
+    # Guards against calls that go down the ranks of a domain that is lost.
+    def test_old_digest_ranks_the_first_vms_only(self) -> None:
+        own_view = view()
+        members = tuple((vm(f'g{one}'), VmReadiness.READY) for one in range(9))
+        own_view.record_digest(DomainDigest('giza', 0, members))
+        ranked = own_view.ranked('s', 'giza', MAX_DIGEST_AGE_S)
+        late = own_view.ranked('s', 'giza', MAX_DIGEST_AGE_S + 1)
+        self.assertEqual(len(ranked), len(members))
+        self.assertEqual(late, ranked[:OLD_RANKED_VMS])
+
 
 class StoreReaderSelectionTest(unittest.TestCase):
     def setUp(self) -> None:
