Give a VM its share as soon as its view has settled

A VM used no server with a limit, and no cold one, for 3.25 s after its start. Cause: the share of 0 of the first 2 s was recorded, and the lowest of the last 1.25 s is in force. Change: nothing is recorded before the view has settled. A VM that it replaces has heard of it at once and has not led for longer than the delay. Measured: the test passes again; gateway tests.test_fleet 31 with two more, OK. Conclusion: the delay is for parts that join again, not for a start.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/visible_share.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/visible_share.py
@@ -8,7 +8,8 @@
 """Seconds that a larger share must last before it takes effect.
 
 After a network partition each of the brokers still has requests queued. Only
-a second later do their rates add up to that of a single broker.
+a second later do their rates add up to that of a single broker. A VM that has
+just started has no part in force, and records none, until its view has settled.
 """
 
 
--- a/packages/turmericpost-core/tests/grants/domain_vm.py
+++ b/packages/turmericpost-core/tests/grants/domain_vm.py
@@ -31,6 +31,7 @@
 from turmericpost_core.grants.rate_limits import pool_of
 from turmericpost_core.grants.visible_share import VisibleShare
 from turmericpost_core.membership.domain_view import (
+    SETTLED_S,
     DomainDigest,
     DomainView,
     Vm,
@@ -252,6 +253,8 @@
 
     def _update_visible_share(self) -> None:
         now_s = self.now_s
+        if now_s - self._started_s < SETTLED_S:
+            return
         share = self.view.live_share(now_s - self._started_s, now_s)
         if self._pause_tracker.is_settling(now_s):
             share = 0
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -38,6 +38,7 @@
 from turmericpost_core.fleet.state_lag import EXCEPTION, StateWay
 from turmericpost_core.grants.visible_share import VisibleShare
 from turmericpost_core.membership.domain_view import (
+    SETTLED_S,
     DomainView,
     Vm,
     VmReadiness,
@@ -379,6 +380,8 @@
 
     def _update_visible_share(self, now_s: float) -> None:
         age_s = now_s - self._started_s
+        if age_s < SETTLED_S:
+            return
         current_share = self.view.live_share(age_s, now_s)
         if self._pause_tracker.is_settling(now_s):
             current_share = 0
