--- a/packages/turmericpost-entry/tests/gateway/test_grant_log.py
+++ b/packages/turmericpost-entry/tests/gateway/test_grant_log.py
@@ -4,7 +4,7 @@
 
 import json
 import unittest
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any
 from unittest.mock import Mock, patch
 
@@ -286,6 +286,19 @@
         self.assertEqual(call.args, (LogEvent.BROKERING_CHANGED,))
         self.assertEqual(call.kwargs['why'], 'no-valid-digest')
 
+    # Guards against counters that no metrics address shows.
+    def test_cold_permit_of_a_leader_is_on_its_metrics_address(self) -> None:
+        own = self.node.view.own
+        self._grant(domain=own.failure_domain, cold_left_s=5)
+        metrics = self._metrics()
+        for line in (
+            'turmericpost_pools_led 1.0',
+            'turmericpost_pools_brokered_without_lead 0.0',
+            'turmericpost_cold_permits_in_s_max 1.0',
+            'turmericpost_cold_permits_total{by="lead"} 1.0',
+        ):
+            self.assertIn(line, metrics)
+
     def test_grant_of_a_vm_is_on_its_metrics_address(self) -> None:
         self._grant()
         metrics = self._metrics()
@@ -296,15 +309,16 @@
         ):
             self.assertIn(line, metrics)
 
-    def _grant(self) -> None:
+    def _grant(self, domain: str = 'nasr', cold_left_s: float = 0) -> None:
         broker = self.node.call_path.broker_service.broker
         now_s = self.node.clock.monotonic_s()
-        broker.install_backends([backend(1)], now_s)
-        load = ReportedLoad(0, 0, 3, cold_left_s=0)
+        server = replace(backend(1), failure_domain=domain)
+        broker.install_backends([server], now_s)
+        load = ReportedLoad(0, 0, 3, cold_left_s=cold_left_s)
         broker.record_probe('b1', load, now_s, is_healthy=True)
         times_s = (now_s, now_s, now_s + 1, now_s + 2)
         request = PermitRequest(
-            'edge-9.5.1', 'edge-9', 'press', 'nasr', 1, *times_s
+            'edge-9.5.1', 'edge-9', 'press', domain, 1, *times_s
         )
         (grant,) = broker.request(request, now_s)
         self.assertIsInstance(grant, PermitGrant)
