Let a registry without open removals replace one that has them

Cause: a VM that holds a removal in the grace time keeps the server, but raises its version with the next change, up to that of a VM that has dropped the server. One version then stood for two registries: a heartbeat of the other VM voided the removal, and VMs that had taken over the registry with the server skipped it. More orders with the same end: a VM that had dropped the server takes it back and does not read the removal again; two VMs drop different servers at the end of the grace time and have one version; a VM takes over a registry and does not read again a registration that had changed nothing in its own, so that a server that lives is not used.

Change: a registry is settled once all records before its version have taken effect, which the messages tell already. Of two registries of one version the settled one replaces the other, by a fetch that compares digests; only settled VMs skip records. A VM that takes over a registry reads on from where the sender does. A change without a newer record raises the version, with the digest in its second number; so does a registration that voids a removal before the version. No field of a message has changed, and no read of the store is added.

Conclusion: an equal version says something only if both VMs have all before it.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -22,6 +22,8 @@
 second covers the period of store reads.
 """
 
+_DIGEST_BITS = 32
+
 
 class UpdateOutcome(Enum):
     """Result of applying an update from another VM.
@@ -52,8 +54,8 @@
     """Registered backend servers as of an offset of the registry.
 
     VMs compare ``version`` to find out whose registry is newer. It consists of
-    the offset after the last record that changed anything and the number of
-    times since then that missing registrations were dropped. ``withheld`` are
+    the offset after the last record that changed anything, and a number that
+    grows with each later change that no newer record made. ``withheld`` are
     ids of servers whose removals are due, but not confirmed by a read since.
     """
 
@@ -76,6 +78,24 @@
         offsets = (removal.offset for removal in self._removals.values())
         return min((self.next_offset, *offsets))
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether all records before the version have taken effect.
+
+        Two settled registries of the same version are equal.
+        """
+        return self.resume_offset >= self.version[0]
+
+    def lacks(self, version: Version, next_offset: int) -> bool:
+        """Return whether the registry of another VM should replace this one.
+
+        ``next_offset`` is the ``resume_offset`` of that VM. Among registries of
+        the same version a settled one is right.
+        """
+        if version != self.version:
+            return version > self.version
+        return next_offset >= version[0] and not self.is_settled
+
     def start_reregistration_grace(self, now_s: float) -> None:
         """Keep expired registrations for ``REREGISTRATION_GRACE_S`` from now.
 
@@ -111,9 +131,11 @@
         if next_offset < self.next_offset:
             return False
         listed = tuple(records)
+        version_before = self.version
         gap = (self.next_offset, next_offset)
         present = {entry.backend_id for entry in listed if entry.backend}
-        changed = False
+        # What was not settled may have left and registered between.
+        changed = not self.is_settled
         for backend_id in tuple(self.backends):
             if backend_id not in present:
                 changed = self._remove(backend_id, gap, now_s) or changed
@@ -121,7 +143,8 @@
             changed = self._apply(record, now_s) or changed
         self.next_offset = next_offset
         if changed:
-            self.version = (next_offset, 0)
+            self.version = version_before
+            self._raise_version(next_offset)
             self._change_log.reset(self.version)
         return changed
 
@@ -149,8 +172,12 @@
         )
 
     def apply_update(self, update: RegistryUpdate) -> UpdateOutcome:
-        """Apply an update from another VM if it is newer."""
-        if update.version <= self.version:
+        """Apply an update from another VM if this one lacks it.
+
+        This VM then reads on from where the sender does: what it has read past
+        that may have changed nothing here, but change the sender's registry.
+        """
+        if not self.lacks(update.version, update.next_offset):
             return UpdateOutcome.UNCHANGED
         is_full = update.base is None
         previous_backends = {} if is_full else self.backends
@@ -159,8 +186,8 @@
             return UpdateOutcome.MISMATCH
         self.backends = new_backends
         self.version = update.version
+        self.next_offset = update.next_offset
         if is_full:
-            self.next_offset = self.resume_offset
             self._removals.clear()
             self._change_log.reset(self.version)
         for change in () if is_full else update.changes:
@@ -170,7 +197,7 @@
         return UpdateOutcome.APPLIED
 
     def read_by_peer(self, offset: int) -> None:
-        """Skip the records that a VM with the same registry has read.
+        """Skip the records that a VM with an equal registry has read.
 
         That VM has also read the removals that end before ``offset``, and has
         none of them pending. It still has these servers, so they have registered
@@ -203,12 +230,12 @@
         any was dropped.
         """
         expired_ids = self._due_ids(read_s)
+        for expired_id in expired_ids:
+            self._removals.pop(expired_id)
+            self._drop(expired_id)
         if expired_ids:
-            offset, expired_count = self.version
-            self.version = (offset, expired_count + 1)
+            self._raise_version(self.version[0])
         for backend_id in expired_ids:
-            self._removals.pop(backend_id)
-            self._drop(backend_id)
             self._change_log.record(
                 BackendChange(self.version, backend_id, None)
             )
@@ -227,10 +254,13 @@
             place = (record.offset, record.offset + 1)
             changed = self._remove(record.backend_id, place, now_s)
         else:
-            self._removals.pop(record.backend_id, None)
-            changed = self._register(backend)
+            # Of this version, others may have dropped the server.
+            is_ahead = not self.is_settled
+            removal = self._removals.pop(record.backend_id, None)
+            is_back = is_ahead and removal is not None
+            changed = self._register(backend) or is_back
         if changed:
-            self.version = max((record.offset + 1, 0), self.version)
+            self._raise_version(record.offset + 1)
             self._change_log.record(
                 BackendChange(
                     self.version,
@@ -240,6 +270,23 @@
             )
         return changed
 
+    def _raise_version(self, offset: int) -> None:
+        """Count a change up to an offset.
+
+        Without a newer record, VMs may make different changes at a version, so
+        the digest is part of its second number.
+        """
+        known_offset, number = self.version
+        if offset > known_offset:
+            self.version = (offset, 0)
+            return
+        digest = directory_digest(self.backends.values())
+        step = (number >> _DIGEST_BITS) + 1
+        self.version = (
+            known_offset,
+            step << _DIGEST_BITS | digest % (1 << _DIGEST_BITS),
+        )
+
     def _register(self, backend: Backend) -> bool:
         known = self.backends.get(backend.backend_id)
         if known is not None:
--- a/packages/turmericpost-core/tests/fleet/test_directory.py
+++ b/packages/turmericpost-core/tests/fleet/test_directory.py
@@ -171,6 +171,77 @@
         self.directory.apply_records([removal, registered(3, 1)], 20)
         self.assertNotIn('b0', self.directory.backends)
 
+    # Guards against a server that is gone, but used for good: VMs that hold its
+    # removal have the version of one that does not.
+    def test_settled_registry_replaces_one_that_holds_a_removal(self) -> None:
+        settled = self._copy()
+        records = [removed(2, 0), registered(3, 2)]
+        settled.apply_records(records, 10)
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records(records, 10)
+        taker = self._copy()
+        self.assertEqual(taker.version, settled.version)
+        for directory in (self.directory, taker):
+            self.assertTrue(
+                directory.lacks(settled.version, settled.resume_offset)
+            )
+            self.assertFalse(
+                settled.lacks(directory.version, directory.resume_offset)
+            )
+            self._fetch(directory, settled)
+            self.assertEqual(set(directory.backends), {'b1', 'b2'})
+            self.assertTrue(directory.is_settled)
+
+    # Guards against a server that is back, but not used: a VM that still holds
+    # its removal has the version of one that has read on.
+    def test_settled_registry_of_the_same_servers_voids_removals(self) -> None:
+        self.directory.start_reregistration_grace(10)
+        records = [removed(2, 0), registered(3, 2)]
+        self.directory.apply_records(records, 10)
+        reader = self._copy()
+        reader.start_reregistration_grace(10)
+        reader.apply_records([*records, registered(4, 0)], 10)
+        self._fetch(self.directory, reader)
+        self.assertFalse(self.directory.withhold(10 + REREGISTRATION_GRACE_S))
+        self.assertIn('b0', self.directory.backends)
+
+    # Guards against a server that is gone, but used for good: a VM that dropped
+    # it takes it back from one that holds its removal, and does not read again.
+    def test_registry_with_a_held_removal_is_read_again(self) -> None:
+        reader = self._copy()
+        reader.apply_records([removed(2, 0)], 10)
+        self.directory.start_reregistration_grace(10)
+        self.directory.apply_records([removed(2, 0), registered(3, 2)], 10)
+        self._fetch(reader, self.directory)
+        version = reader.version
+        reader.apply_records([removed(2, 0), registered(3, 2)], 11)
+        self.assertEqual(set(reader.backends), {'b1', 'b2'})
+        self.assertGreater(reader.version, version)
+
+    # Guards against VMs that each drop another server and then have one version.
+    def test_versions_after_different_removals_differ(self) -> None:
+        other = self._copy()
+        for directory, first in ((self.directory, 0), (other, 1)):
+            directory.start_reregistration_grace(10)
+            directory.apply_records([removed(2, first)], 10)
+            directory.start_reregistration_grace(12)
+            directory.resync([], 4, 12)
+            directory.expire(10 + REREGISTRATION_GRACE_S)
+        self.assertNotEqual(other.backends, self.directory.backends)
+        self.assertNotEqual(other.version, self.directory.version)
+
+    def _copy(self) -> BackendDirectory:
+        copied = BackendDirectory()
+        copied.apply_update(self.directory.update_since(None))
+        return copied
+
+    def _fetch(
+        self, receiver: BackendDirectory, sender: BackendDirectory
+    ) -> None:
+        update = sender.update_since(receiver.version)
+        if receiver.apply_update(update) is UpdateOutcome.MISMATCH:
+            receiver.apply_update(sender.update_since(None))
+
     def test_draining_server_gets_no_grace_time(self) -> None:
         self.directory.apply_records([registered(2, 0, is_draining=True)], 9)
         self.directory.start_reregistration_grace(10)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -184,7 +184,7 @@
         outcome = self.state.apply_update(decoded.unwrap())
         if outcome is UpdateOutcome.MISMATCH:
             self.monitor.failed(StateWay.PUSH, MISMATCH, vm=sender)
-        if self.state.versions != versions_before:
+        if self._has_changed(versions_before, outcome):
             self._state_changed(sender)
 
     def vms_lost(self, names: Iterable[str]) -> None:
@@ -212,6 +212,13 @@
             self._schedule.outdated_after_s,
         )
 
+    def _has_changed(
+        self, before: KnownVersions, outcome: UpdateOutcome
+    ) -> bool:
+        """Return whether an update changed the state, even if only in part."""
+        is_applied = outcome is UpdateOutcome.APPLIED
+        return is_applied or self.state.versions != before
+
     def _state_changed(self, source: str) -> None:
         self.monitor.state_changed(source)
         self._on_change(source)
@@ -229,15 +236,19 @@
         state = self.state
         if state_version.operator_offset > state.operator_offset:
             return True
-        return state_version.backends > state.directory.version
+        return state.directory.lacks(
+            state_version.backends, state_version.next_offset
+        )
 
     def _advance_offset(self, state_version: StateVersion) -> None:
         """Skip the registry records that another VM read.
 
-        They changed nothing, as both VMs have the same registry version.
+        They changed nothing, as both VMs have the same registry version. That
+        says nothing of removals before it that have not taken effect here.
         """
         directory = self.state.directory
-        if state_version.backends == directory.version:
+        is_equal = state_version.backends == directory.version
+        if is_equal and directory.is_settled:
             directory.read_by_peer(state_version.next_offset)
 
     def _fetch(self, vm: Vm, state_version: StateVersion) -> None:
@@ -279,7 +290,7 @@
         """
         versions_before = self.state.versions
         outcome = self.state.apply_update(update)
-        if self.state.versions != versions_before:
+        if self._has_changed(versions_before, outcome):
             self._state_changed(vm.name)
         if outcome is UpdateOutcome.MISMATCH:
             is_whole = update.registry.base is None
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -133,15 +133,19 @@
     async def _read_backends(self) -> None:
         begun_s = self._clock.monotonic_s()
         directory = self._state.directory
-        is_listing = self._needs_backend_listing or not directory.next_offset
+        offset = directory.next_offset
+        is_listing = self._needs_backend_listing or not offset
         if is_listing:
             read_result = await self._store.list_backends()
         else:
-            read_result = await self._store.read_backends(directory.next_offset)
+            read_result = await self._store.read_backends(offset)
         if read_result.is_err():
             self._backend_read_failed(read_result.unwrap_err())
             return
         self._backend_read_succeeded()
+        if not is_listing and directory.next_offset < offset:
+            # An update led back to records that this read left out.
+            return
         self.last_read_s = begun_s
         self._apply_backends(read_result.unwrap(), is_listing=is_listing)
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -79,7 +79,7 @@
         self.sending_bytes = 0
         self._state = state
         self._encoded_updates: dict[KnownVersions, bytes] = {}
-        self._encoded_versions = KnownVersions()
+        self._encoded_basis = (KnownVersions(), True)
 
     def buildProtocol(self, addr: IAddress) -> Protocol:
         """Return the protocol of a new stream."""
@@ -98,8 +98,9 @@
 
         The result is cached until the state changes.
         """
-        if self._encoded_versions != self._state.versions:
-            self._encoded_versions = self._state.versions
+        basis = (self._state.versions, self._state.directory.is_settled)
+        if self._encoded_basis != basis:
+            self._encoded_basis = basis
             self._encoded_updates.clear()
         wire = self._encoded_updates.get(known)
         if wire is None:
--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -23,7 +23,7 @@
     REREGISTRATION_GRACE_S,
     BackendDirectory,
 )
-from turmericpost_core.fleet.state import KnownVersions
+from turmericpost_core.fleet.state import FleetState, KnownVersions
 from turmericpost_core.membership.catch_up import TAKEOVER_S
 from turmericpost_core.membership.domain_view import (
     DomainView,
@@ -141,6 +141,44 @@
         usable = self.state_sync.state.usable_backends()
         self.assertEqual([one.backend_id for one in usable], ['i-1'])
 
+    # Guards against a removal that is void, and a server that is gone but used,
+    # because a VM takes an equal version for an equal registry.
+    def test_settled_registry_of_the_same_version_is_fetched(self) -> None:
+        directory = self.state_sync.state.directory
+        directory.apply_records([Registration(0, 'i-0', server(0))], 0)
+        directory.start_reregistration_grace(0)
+        directory.apply_records(
+            [Registration(1, 'i-0', None), Registration(2, 'i-1', server(1))], 0
+        )
+        self.state_sync.state_version_received(
+            vm('near'), StateVersion(0, 0, directory.version, 2)
+        )
+        self.assertEqual(self.reactor.tcpClients, [])
+        self.assertEqual(directory.resume_offset, 1)
+        self.state_sync.state_version_received(
+            vm('near'), StateVersion(0, 0, directory.version, 3)
+        )
+        self.assertEqual(len(self.reactor.tcpClients), 1)
+        self.assertEqual(directory.resume_offset, 1)
+
+    # Guards against a VM that uses a server that has left, since it learned of
+    # the removal without a change of the version.
+    def test_registry_of_the_same_version_is_announced(self) -> None:
+        directory = self.state_sync.state.directory
+        directory.apply_records([Registration(0, 'i-0', server(0))], 0)
+        directory.start_reregistration_grace(0)
+        records = [
+            Registration(1, 'i-0', None),
+            Registration(2, 'i-1', server(1)),
+        ]
+        directory.apply_records(records, 0)
+        sender = FleetState()
+        sender.directory.resync(records[1:], 3, 0)
+        self.assertEqual(sender.versions, self.state_sync.state.versions)
+        self._push(sender.update_since(KnownVersions()))
+        self.assertEqual(set(directory.backends), {'i-1'})
+        self.assertEqual(self.changes, ['teller'])
+
     def test_state_that_came_otherwise_is_not_fetched_after_the_delay(
         self,
     ) -> None:
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -168,6 +168,24 @@
     def test_recent_failure_is_an_outage_for_a_later_read(self) -> None:
         self.assertTrue(self._starts_grace_after(1))
 
+    # Guards against records that are never read: while a read waits, an update
+    # of another VM leads back to records before it.
+    def test_read_from_past_the_next_offset_is_dropped(self) -> None:
+        directory = self.state.directory
+        self.reader.start()
+        directory.next_offset = 9
+        read = self.store.read_backends
+
+        async def lead_back(
+            from_offset: int,
+        ) -> Result[Registrations, StoreError]:
+            directory.next_offset = 5
+            return await read(from_offset)
+
+        with patch.object(self.store, 'read_backends', lead_back):
+            self.advance_time(self.schedule.period_s + STEP_S)
+        self.assertEqual(directory.next_offset, 5)
+
     def _starts_grace_after(self, pause_s: float) -> bool:
         """Return whether a read after a failed one and a pause starts it."""
         directory = self.state.directory
--- a/packages/turmericpost-entry/tests/fleet/test_update_stream.py
+++ b/packages/turmericpost-entry/tests/fleet/test_update_stream.py
@@ -145,6 +145,25 @@
             self.state, self.reactor, lambda: self.failures.append('exception')
         )
 
+    # Guards against VMs that fetch again and again: a registry that has settled
+    # under its version is handed on as one that has not.
+    def test_update_is_encoded_anew_once_the_registry_has_settled(self) -> None:
+        directory = self.state.directory
+        directory.start_reregistration_grace(0)
+        directory.apply_records(
+            [
+                Registration(SERVER_COUNT, server_id(0), None),
+                Registration(SERVER_COUNT + 1, 'new', server(SERVER_COUNT)),
+            ],
+            0,
+        )
+        known = self.state.versions
+        before = self.server.encoded_update(known)
+        directory.read_by_peer(SERVER_COUNT + 2)
+        self.assertTrue(directory.is_settled)
+        self.assertEqual(known, self.state.versions)
+        self.assertNotEqual(self.server.encoded_update(known), before)
+
     def open(self) -> tuple[Any, StringTransportWithDisconnection]:
         protocol = self.server.buildProtocol(None)
         transport = StringTransportWithDisconnection()
