Let stand-in servers turn cold, count arrivals and crash

To measure how many requests reach a cold server, and what it does well above its cold pace. By default a stand-in server behaves as before.

--- a/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
@@ -4,6 +4,7 @@
 
 import json
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -81,6 +82,9 @@
     """Identity and capacity of a server, and its time to process a request.
 
     Each response ends with ``padding_bytes`` bytes that have no meaning.
+    ``cold_slowness_percent`` is the processing time while cold, in percent of
+    the normal one. More than ``max_cold_per_s`` requests within a second while
+    cold crash the server, if that is set.
     """
 
     backend_id: str
@@ -91,6 +95,8 @@
     service_time_s: float = 0.02
     queue_full_action: QueueFullAction = QueueFullAction.SHED
     padding_bytes: int = 0
+    cold_slowness_percent: int = _NORMAL_SLOWNESS_PERCENT
+    max_cold_per_s: int | None = None
 
 
 @dataclass(frozen=True)
@@ -131,7 +137,9 @@
     A request takes one of the server's slots for its processing time and is
     queued while all slots are taken. ``runs`` lists the requests processed,
     ``arrivals`` all that arrived, and ``statements`` the responses that stated
-    that the server leaves or wants a pause.
+    that the server leaves or wants a pause. ``cold_arrivals`` lists the
+    requests for this server that arrived while it was cold. ``crash`` is called
+    when too many of them arrive within a second.
     """
 
     isLeaf = True  # noqa: WPS115
@@ -145,6 +153,8 @@
         self.runs: list[PlatformRunRecord] = []
         self.arrivals: list[Arrival] = []
         self.statements: list[Statement] = []
+        self.cold_arrivals: list[Arrival] = []
+        self.crash: Callable[[], None] = _stay_up
         self.probes = 0
         self.cancelled = 0
         self._reactor = reactor
@@ -152,6 +162,17 @@
         self._queued: deque[Request] = deque()
         self._late_copies: dict[Any, bytes] = {}
 
+    def turn_cold(self, cold_s: float) -> None:
+        """Turn cold for a while; only responses to probes tell it."""
+        self.cold_until_s = self._reactor.seconds() + cold_s
+
+    def restart(self, cold_s: float) -> None:
+        """Begin anew and cold, which the next registration states."""
+        self.started_ms += 1
+        self._running.clear()
+        self._queued.clear()
+        self.turn_cold(cold_s)
+
     def encode_registration(self, address: str) -> bytes:
         """Encode the record that registers this server under an address."""
         warmup_left_s = max(self.cold_until_s - self._reactor.seconds(), 0)
@@ -185,9 +206,24 @@
             self._respond_with_error(request, _MISDIRECTED_REQUEST)
             return NOT_DONE_YET
         request.notifyFinish().addErrback(self._cancel, request)
-        self._work_or_reject(request)
+        if self._bears(request):
+            self._work_or_reject(request)
+        else:
+            self.crash()
         return NOT_DONE_YET
 
+    def _bears(self, request: Request) -> bool:
+        """Count an arrival; return whether a cold server bears it."""
+        now_s = self._reactor.seconds()
+        if now_s >= self.cold_until_s:
+            return True
+        self.cold_arrivals.append(Arrival(_request_id(request).decode(), now_s))
+        limit = self.spec.max_cold_per_s
+        if limit is None or len(self.cold_arrivals) <= limit:
+            return True
+        first = self.cold_arrivals[-1 - limit]
+        return now_s - first.arrived_s > 1
+
     def _work_or_reject(self, request: Request) -> None:
         if self._must_shed():
             self._shed(request)
@@ -229,11 +265,18 @@
                 self._reactor.seconds(),
             ),
         )
-        slowdown = self.faults.slowness_percent / _NORMAL_SLOWNESS_PERCENT
         self._reactor.callLater(
-            self.spec.service_time_s * slowdown, self._finish_work, request
+            self._processing_s(), self._finish_work, request
         )
 
+    def _processing_s(self) -> float:
+        slowdown = self.faults.slowness_percent / _NORMAL_SLOWNESS_PERCENT
+        if self._reactor.seconds() < self.cold_until_s:
+            slowdown *= (
+                self.spec.cold_slowness_percent / _NORMAL_SLOWNESS_PERCENT
+            )
+        return self.spec.service_time_s * slowdown
+
     def _finish_work(self, request: Request) -> None:
         if request not in self._running:
             return
@@ -398,6 +441,10 @@
             self._queued.remove(request)
 
 
+def _stay_up() -> None:
+    """Do nothing."""
+
+
 def _request_id(request: Request) -> bytes:
     """Return the id that the caller sent, empty if there is none."""
     return request.getHeader(b'x-request-id') or b''
