--- a/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/platform_backend.py
@@ -84,7 +84,8 @@
     Each response ends with ``padding_bytes`` bytes that have no meaning.
     ``cold_slowness_percent`` is the processing time while cold, in percent of
     the normal one. More than ``max_cold_per_s`` requests within a second while
-    cold crash the server, if that is set.
+    cold crash the server, if that is set. Requests, probes and responses to
+    probes need ``network_delay_s`` each.
     """
 
     backend_id: str
@@ -97,6 +98,7 @@
     padding_bytes: int = 0
     cold_slowness_percent: int = _NORMAL_SLOWNESS_PERCENT
     max_cold_per_s: int | None = None
+    network_delay_s: float = 0
 
 
 @dataclass(frozen=True)
@@ -192,6 +194,17 @@
 
     def render(self, request: Request) -> int:
         """Process, queue or reject a request; respond to probes at once."""
+        delay_s = self.spec.network_delay_s
+        if delay_s:
+            request.notifyFinish().addErrback(_ignore)
+            self._reactor.callLater(delay_s, self._receive, request)
+        else:
+            self._receive(request)
+        return NOT_DONE_YET
+
+    def _receive(self, request: Request) -> None:
+        if request.channel is None:
+            return
         late_copy = self._late_copies.pop(request.channel, b'')
         request.channel.transport.write(late_copy)
         self.arrivals.append(
@@ -199,18 +212,17 @@
         )
         if request.path == b'/health':
             self._respond_to_probe(request)
-            return NOT_DONE_YET
+            return
         expected_backend_id = request.getHeader(b'x-expect-instance')
         if expected_backend_id not in {None, self.spec.backend_id.encode()}:
             request.setHeader(b'x-instance-id', self.spec.backend_id)
             self._respond_with_error(request, _MISDIRECTED_REQUEST)
-            return NOT_DONE_YET
+            return
         request.notifyFinish().addErrback(self._cancel, request)
         if self._bears(request):
             self._work_or_reject(request)
         else:
             self.crash()
-        return NOT_DONE_YET
 
     def _bears(self, request: Request) -> bool:
         """Count an arrival; return whether a cold server bears it."""
@@ -252,7 +264,10 @@
                 b'x-warmup-ms', str(int(warmup_left_s * _MS_PER_S))
             )
         self._set_load_header(request)
-        request.finish()
+        if self.spec.network_delay_s:
+            self._reactor.callLater(self.spec.network_delay_s, _finish, request)
+        else:
+            request.finish()
 
     def _start_work(self, request: Request) -> None:
         self._running.add(request)
@@ -445,6 +460,15 @@
     """Do nothing."""
 
 
+def _ignore(_failure: object) -> None:
+    """Ignore that a connection was lost."""
+
+
+def _finish(request: Request) -> None:
+    if request.channel is not None:
+        request.finish()
+
+
 def _request_id(request: Request) -> bytes:
     """Return the id that the caller sent, empty if there is none."""
     return request.getHeader(b'x-request-id') or b''
