Ignore the service time of a call whose objective is not known

Cause: a broker that adopts a permit knows no objective of its call, which it takes for 0 s. The end of that call set its estimate of the service time to 0, and requests were denied only at their very deadlines. Change: such a call does not count.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -57,7 +57,11 @@
         ignored. Longer ones than the objective count as the objective, so that
         calls keep being granted and their service times correct the mean.
         """
-        if service_time_s < MIN_SERVICE_TIME_SHARE * objective_s:
+        is_known = objective_s > 0
+        if (
+            not is_known
+            or service_time_s < MIN_SERVICE_TIME_SHARE * objective_s
+        ):
             return
         if self._typical_service_time_s is None:
             self._typical_service_time_s = _initial_service_time_s(objective_s)
--- a/packages/turmericpost-core/tests/grants/test_broker.py
+++ b/packages/turmericpost-core/tests/grants/test_broker.py
@@ -409,6 +409,17 @@
             grants_in(probe_backend(broker, 0, 7.01, slowness=400))
         )
 
+    # Guards against an estimate of 0 s after the call of an adopted permit, for
+    # which the broker knows no objective; requests then wait to their deadlines.
+    def test_adopted_permit_does_not_lower_the_service_time(self) -> None:
+        broker = new_broker(1)
+        broker.reconcile_permits('vm7', {'vm3.1/5': 'b0'}, 0)
+        report = AttemptReport(AttemptOutcome.SUCCESS, 0.3, reported_load())
+        broker.release_permit('vm3.1/5', report, 0.3)
+        almost_s = INITIAL_SERVICE_TIME_SHARE * OBJECTIVE_S / 2
+        request = new_request(1, 1, deadline_at_s=1 + almost_s)
+        self.assertTrue(denials_in(broker.request(request, 1)))
+
     def test_last_requests_in_a_slow_queue_are_denied_before_deadline(
         self,
     ) -> None:
