--- a/packages/turmericpost-core/tests/grants/domain_history.py
+++ b/packages/turmericpost-core/tests/grants/domain_history.py
@@ -47,6 +47,7 @@
     Vm,
     VmReadiness,
 )
+from turmericpost_core.membership.ring import rendezvous_owners
 
 MAX_VMS = 40
 SMALL_DOMAIN_VMS = 12
@@ -59,6 +60,8 @@
 LAST_MOMENT_S = START_S + 4
 FAULT_SPREAD_S = 1.5
 BUSIEST_POOL_SHARE = 0.6
+MAX_FIRST = 6
+FIRST_CALLERS_PROBABILITY = 0.2
 MAX_DISCOVERY_S = 1.9
 MAX_NOTICE_S = 1.5
 MIN_CALLS_TO_COLD = 20
@@ -94,12 +97,18 @@
 
 
 class DomainHistory:
-    """One simulation run, determined by its seed."""
+    """One simulation run, determined by its seed.
 
-    def __init__(self, seed: int) -> None:
+    ``plays_hard_faults`` adds leaders that nobody hears, and servers that start
+    cold again and again without notice.
+    """
+
+    def __init__(self, seed: int, *, plays_hard_faults: bool = False) -> None:
+        self.plays_hard_faults = plays_hard_faults
         self.random = Random(seed)
         self.events = EventQueue()
         self.calls: list[Call] = []
+        self.faults: list[tuple[float, str]] = []
         self.servers: dict[str, SimulatedServer] = {}
         self.is_cold_at_end = self.happens(0.5)
         self.vm_lives: dict[str, SimulatedVm] = {}
@@ -240,6 +249,14 @@
         service = self.random.choice(list(self.services))
         return service, self.random.choice(self.domains)
 
+    def first_in_rank(self, pool: Pool) -> list[str]:
+        """Return some of the first VMs in rank for a pool, the leader first."""
+        service, domain = pool
+        names = self.names_by_domain[domain]
+        count = self.random.randint(1, min(len(names), MAX_FIRST))
+        subject = f'{service}@{domain}'
+        return list(rendezvous_owners(subject, names, count))
+
     def happens(self, probability: float) -> bool:
         return self.random.uniform(0, 1) < probability
 
@@ -444,8 +461,11 @@
         names: Sequence[str] = self.names_by_domain[domain]
         if self.happens(self.demand.foreign_probability):
             names = list(self._vms)
-        count = self.random.randint(1, len(names))
-        callers = self.random.sample(names, count)
+        if self.plays_hard_faults and self.happens(FIRST_CALLERS_PROBABILITY):
+            callers = self.first_in_rank((service, domain))
+        else:
+            count = self.random.randint(1, len(names))
+            callers = self.random.sample(names, count)
         for _ in range(self.random.randint(1, self.demand.max_burst)):
             self.events.call_later(
                 self.random.uniform(0, 0.1),
@@ -567,6 +587,8 @@
             self._kill_domain,
             history.silence_digests,
         )
+        if history.plays_hard_faults:
+            main_kinds += (self._restart_unnoticed, self._mute_first)
         other_kinds = (
             self._isolate_one,
             self._silence_one,
@@ -582,10 +604,12 @@
         self._main_kind = self._random.choice(main_kinds)
 
     def inject_one(self) -> None:
+        kind = self._main_kind
         if self._kinds and self._history.happens(0.5):
-            self._random.choice(self._kinds)()
-        else:
-            self._main_kind()
+            kind = self._random.choice(self._kinds)
+        time_s = round(self._history.now_s - START_S, 2)
+        self._history.faults.append((time_s, kind.__name__))
+        kind()
 
     def _names(self) -> tuple[str, ...]:
         """Return the VMs of one domain, or of all."""
@@ -613,6 +637,15 @@
         names = self._names()
         self._history.network.cut(self._sample(names), self._sample(names))
 
+    def _mute_first(self) -> None:
+        """Let nobody hear the first VMs in rank for a pool, which hear all.
+
+        Each of them takes itself for the leader, and sees nearly all others.
+        """
+        pool = self._history.draw_pool()
+        first = self._history.first_in_rank(pool)
+        self._history.network.cut(first, tuple(self._history.vm_lives))
+
     def _isolate_one(self) -> None:
         name = self._random.choice(self._names())
         self._history.network.divide({name: self._random.randint(100, 999)})
@@ -671,20 +704,20 @@
     return {rule: broken for rule, broken in found.items() if broken}
 
 
-def main(first: int, count: int) -> None:
+def main(first: int, count: int, *, plays_hard_faults: bool) -> None:
     """Run seeds, print those that break a rule, and the worst second."""
     broken_count = 0
     worst: tuple[float, int] = (0, 0)
     started_s = perf_counter()
     for seed in range(first, first + count):
-        history = DomainHistory(seed).run()
+        history = DomainHistory(seed, plays_hard_faults=plays_hard_faults).run()
         for one in history.worst_seconds():
             worst = max(worst, (one.arrivals / one.bound, seed))
         broken = broken_rules(history)
         if broken:
             broken_count += 1
             sizes = [len(names) for names in history.names_by_domain.values()]
-            _print(f'seed {seed}, VMs {sizes}: {broken}')
+            _print(f'seed {seed}, VMs {sizes}: {broken} {history.faults}')
     seconds_each = (perf_counter() - started_s) / count
     _print(f'{broken_count} of {count} broken, {seconds_each:.2f} s each')
     _print(f'worst second {worst[0]:.2f} of its bound, seed {worst[1]}')
@@ -696,4 +729,8 @@
 
 
 if __name__ == '__main__':
-    main(int(sys.argv[1]), int(sys.argv[2]))
+    main(
+        int(sys.argv[1]),
+        int(sys.argv[2]),
+        plays_hard_faults='hard' in sys.argv[3:],
+    )
--- a/packages/turmericpost-core/tests/grants/test_domain_history.py
+++ b/packages/turmericpost-core/tests/grants/test_domain_history.py
@@ -16,6 +16,8 @@
 RUNS = 40
 RUNS_WITH_FAULT = 12
 FORMER_BREAKS = (41, 49, 62, 85, 92, 94, 96, 152)
+HARD_FAULT_SEEDS = (8, 44, 69, 85, 136, 159, 169, 193, 224, 601, 679)
+"""Seeds that broke a rule in earlier code or in a trial of another one."""
 
 
 class DomainHistoryTest(unittest.TestCase):
@@ -68,6 +70,37 @@
         self.assertFalse(broken)
 
 
+class HardFaultHistoryTest(unittest.TestCase):
+    histories: dict[int, DomainHistory]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.histories = {
+            seed: DomainHistory(seed, plays_hard_faults=True).run()
+            for seed in HARD_FAULT_SEEDS
+        }
+
+    # Guards against leaders that nobody hears, each with the whole rate, and
+    # against a warm report that stands for any number of attempts.
+    def test_cold_servers_get_no_more_than_their_rate(self) -> None:
+        broken = {
+            seed: found
+            for seed, history in self.histories.items()
+            if (found := history.cold_rate_breaks())
+        }
+        self.assertFalse(broken)
+
+    # Guards against requests that wait to their deadlines after the call of an
+    # adopted permit.
+    def test_calls_end_by_their_deadlines(self) -> None:
+        late = {
+            seed: found
+            for seed, history in self.histories.items()
+            if (found := history.late_calls())
+        }
+        self.assertFalse(late)
+
+
 def _any_break(check: Callable[[DomainHistory], list]) -> bool:
     return any(
         check(DomainHistory(seed).run()) for seed in range(RUNS_WITH_FAULT)
