Keep the last attempt only beyond the usual window

Cause: the window of the second VM in rank at the smallest rate is 35 s, and all attempts of that time were kept; test_attempts_of_a_warm_server_are_not_kept failed with (353 of at most 200), seen by the whole check on. Change: a window longer than 1.1 s allows one attempt, so the time of the last one is enough. Measured: the test passes again, and a new one of the second in rank.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/backend_state.py
@@ -25,7 +25,7 @@
 from turmericpost_core.grants.permits import AttemptOutcome, ReportedLoad
 from turmericpost_core.grants.rate_pacer import RatePacer
 from turmericpost_core.grants.rate_share import (
-    MAX_WINDOW_S,
+    RATE_WINDOW_S,
     UNUSED_RECHECK_S,
     AttemptPace,
 )
@@ -360,6 +360,8 @@
         return sum(1 for _ in takewhile(since_s.__le__, newest_first))
 
     def _drop_old_attempts(self, now_s: float) -> None:
-        oldest_s = now_s - MAX_WINDOW_S
-        while self._recent_attempts_s and self._recent_attempts_s[0] < oldest_s:
-            self._recent_attempts_s.popleft()
+        """Drop attempts outside of the usual window, but keep the last one."""
+        oldest_s = now_s - RATE_WINDOW_S
+        times_s = self._recent_attempts_s
+        while len(times_s) > 1 and times_s[0] < oldest_s:
+            times_s.popleft()
--- a/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
@@ -26,17 +26,16 @@
 The difference covers permits that reach their servers with different delays.
 """
 
-MAX_WINDOW_S = RATE_WINDOW_S / (MIN_RATE_PER_S / 8)
-"""Longest window of a pace: that of the smallest rate at the second VM in rank
-of a bare majority."""
-
 _MAJORITY_SHARE = 0.5
 _MIN_PART_PER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptPace:
-    """Maximum number of attempts in a sliding window of ``window_s``."""
+    """Maximum number of attempts in a sliding window of ``window_s``.
+
+    A window longer than ``RATE_WINDOW_S`` allows one attempt.
+    """
 
     attempts: int
     window_s: float
--- a/packages/turmericpost-core/tests/grants/test_cold_pool.py
+++ b/packages/turmericpost-core/tests/grants/test_cold_pool.py
@@ -5,7 +5,14 @@
 import unittest
 from dataclasses import replace
 
-from tests.grants.samples import backend, new_broker, new_request, reported_load
+from tests.grants.history import max_count_in_window
+from tests.grants.samples import (
+    SPEC,
+    backend,
+    new_broker,
+    new_request,
+    reported_load,
+)
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
@@ -19,7 +26,7 @@
     instance_of,
     pool_of,
 )
-from turmericpost_core.grants.rate_share import UNUSED_RECHECK_S
+from turmericpost_core.grants.rate_share import RATE_WINDOW_S, UNUSED_RECHECK_S
 
 _COLD_S = 5.0
 
@@ -84,6 +91,25 @@
         decisions = [self._request(number) for number in range(7)]
         self.assertIsNone(decisions[-1])
 
+    def test_second_in_rank_waits_longer_than_the_usual_window(self) -> None:
+        self.broker.lead_share = lambda _pool: 0.25
+        granted_s = []
+        for step in range(500):
+            now_s = step / 100
+            self._report(cold_left_s=60, now_s=now_s)
+            request = new_request(step, now_s)
+            for decision in self.broker.request(request, now_s):
+                if isinstance(decision, PermitGrant):
+                    granted_s.append(now_s)
+                    unused = AttemptReport(AttemptOutcome.UNUSED)
+                    self.broker.release_permit(
+                        decision.permit_id, unused, now_s
+                    )
+            self.broker.cancel(request.permit_request_id)
+        window_s = RATE_WINDOW_S / (0.25 * SPEC.cold_per_s)
+        self.assertLessEqual(max_count_in_window(granted_s, window_s * 0.9), 2)
+        self.assertGreaterEqual(len(granted_s), 2 * 3)
+
     def test_warm_server_is_used_without_a_part(self) -> None:
         self.broker.visible_share = 0
         self._report(cold_left_s=0)
--- a/packages/turmericpost-core/tests/grants/test_rate_share.py
+++ b/packages/turmericpost-core/tests/grants/test_rate_share.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 
 from turmericpost_core.grants.rate_share import (
-    MAX_WINDOW_S,
     MIN_RATE_PER_S,
     RATE_WINDOW_S,
     BrokerShare,
@@ -42,7 +41,9 @@
         self.assertGreaterEqual(pace.attempts, max(int(rate_per_s), 1))
         if rate_per_s >= 1:
             self.assertEqual(pace.window_s, RATE_WINDOW_S)
-        self.assertLessEqual(pace.window_s, MAX_WINDOW_S)
+        else:
+            longest_s = RATE_WINDOW_S / MIN_RATE_PER_S
+            self.assertLessEqual(pace.window_s, longest_s)
 
     def test_rate_below_one_is_used_by_a_majority_only(self) -> None:
         self.assertEqual(attempt_pace(0.5, BrokerShare(0.5, 1)).attempts, 0)
