--- a/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/rate_share.py
@@ -2,9 +2,9 @@
 
 Brokers that do not hear each other each use the part that their share of the
 failure domain stands for. Parts below one attempt a second are not used,
-since the attempts of many such brokers may fall into the same second. Only a
-broker that hears more than half of the domain uses a part that small: there
-is at most one of them in any division of the domain.
+since the attempts of many such brokers may fall into the same second. Only
+brokers that hear more than half of the domain use parts that small: any
+division of the domain has one such side at most.
 """
 
 from __future__ import annotations
