Read datagrams of any size

Cause: the library reads 8,192 bytes of a datagram. The list of known VMs, which a VM gets from each that hears it first, has 10.7 KB at 141 VMs. It was cut and refused as malformed, so a VM knew only those that sent it heartbeats by themselves, often just the seed, and counted that as its whole domain. Change: 65,536 bytes are read.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -51,6 +51,9 @@
 """Maximum number of connections waiting to be accepted: more than a failure
 domain has callers."""
 
+MAX_DATAGRAM_BYTES = 65536
+"""Size up to which datagrams are read whole: more than any datagram has."""
+
 SWEEP_INTERVAL_S = 0.25
 """Interval at which idle connections and expired state are removed."""
 
@@ -276,6 +279,7 @@
             settings.peer_port,
             self.peers,
             interface=settings.host,
+            maxPacketSize=MAX_DATAGRAM_BYTES,
         )
 
     def _listen(self, address: Address, factory: Any) -> Any:
