Review case 6: a large configuration over slow links never comes into force

Cause: a read of operator records has 1.4 s, whatever it answers. A backlog of 1 MB takes longer on a link of 5 Mbit/s; the read is thrown away and repeated for ever.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -27,6 +27,8 @@
 DRAIN_S = 2.0
 STABLE_S = 3.0
 HEARTBEAT_S = 1.5
+LINK_PART_BYTES = 8192
+BYTES_PER_MBIT = 125_000
 ZONES = {
     'cairo-nasr': 'cairo',
     'alex-smouha': 'alex',
@@ -136,6 +138,8 @@
         self.mode: dict[str, str] = {}
         self.reads: list[tuple[float, str, str]] = []
         self._silenced = 0
+        self.link_mbps: float | None = None
+        self._links: dict[str, asyncio.Lock] = {}
         self._logs: dict[str, list[tuple[str, bytes]]] = {}
         self._grown = asyncio.Event()
 
@@ -193,13 +197,31 @@
                     return
                 await asyncio.sleep(0.004)
                 kind = {'Content-Type': 'application/json'}
-                writer.write(render(status, kind, body))
-                await writer.drain()
+                await self._send(vm_name, writer, render(status, kind, body))
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
+    async def _send(
+        self, vm_name: str, writer: asyncio.StreamWriter, wire: bytes
+    ) -> None:
+        """Send a response, no faster than the link of the VM."""
+        if self.link_mbps is None:
+            writer.write(wire)
+            await writer.drain()
+            return
+        link = self._links.setdefault(vm_name, asyncio.Lock())
+        bytes_per_s = self.link_mbps * BYTES_PER_MBIT
+        for start in range(0, len(wire), LINK_PART_BYTES):
+            part = wire[start : start + LINK_PART_BYTES]
+            async with link:
+                writer.write(part)
+                await asyncio.sleep(len(part) / bytes_per_s)
+            if writer.is_closing():
+                return
+            await writer.drain()
+
     async def _hang(self, reader: asyncio.StreamReader) -> None:
         """Answer nothing on this connection any more."""
         while await reader.read(65536):
@@ -218,9 +240,14 @@
             key_end = 1 + content[0]
             key = content[1:key_end].decode()
             offset = self.write(topic, key, content[key_end:])
-            return 200, json.dumps({'Offset': offset, 'End': offset + 1}).encode()
+            return 200, json.dumps(
+                {'Offset': offset, 'End': offset + 1}
+            ).encode()
         if target.path == '/-/log-newest':
-            newest = {key: (offset, payload) for offset, (key, payload) in enumerate(log)}
+            newest = {
+                key: (offset, payload)
+                for offset, (key, payload) in enumerate(log)
+            }
             items = [
                 {
                     'Key': key,
@@ -238,13 +265,19 @@
             until_s = now_s() + int(query.get('WaitMs', '0')) / 1000
             while start >= len(log) and now_s() < until_s:
                 try:
-                    await asyncio.wait_for(self._grown.wait(), until_s - now_s())
+                    await asyncio.wait_for(
+                        self._grown.wait(), until_s - now_s()
+                    )
                 except asyncio.TimeoutError:
                     break
             parts = [struct.pack('>QQ', len(log), 0)]
+            left_bytes = int(query.get('MaxKb', '1024')) * 1024
             for key, payload in log[start:]:
                 raw_key = key.encode()
                 content = bytes((len(raw_key),)) + raw_key + payload
+                left_bytes -= len(content)
+                if left_bytes < 0 and len(parts) > 1:
+                    break
                 parts.append(struct.pack('>I', len(content)) + content)
             return 200, b''.join(parts)
         return 404, b'{}'
@@ -365,12 +398,12 @@
             self.waiting -= 1
             self.running += 1
             try:
-                await asyncio.sleep(self._work_s(path) * random.uniform(0.8, 1.2))
+                await asyncio.sleep(
+                    self._work_s(path) * random.uniform(0.8, 1.2)
+                )
             finally:
                 self.running -= 1
-        self.store.record.add(
-            'run', target=self.target_id, request=request_id
-        )
+        self.store.record.add('run', target=self.target_id, request=request_id)
         fields = {
             **echo,
             'X-Response-Stamp': f'{self.target_id}.{request_id}',
@@ -394,13 +427,16 @@
 class EntryVm:
     """One process of the system, started with the command of the deploy file."""
 
-    def __init__(self, name: str, zone: str, host: str, store_port: int) -> None:
+    def __init__(
+        self, name: str, zone: str, host: str, store_port: int
+    ) -> None:
         self.name = name
         self.zone = zone
         self.host = host
         self.front = f'{host}:8548'
         self.directory = f'{host}:8546'
         self.ready = f'{host}:8542'
+        self.link_mbps = 1000.0
         self._store_port = store_port
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -429,7 +465,7 @@
                 'Limits.Cores=1',
                 'Limits.MemoryMb=300',
                 'Limits.MaxFds=4100',
-                'Limits.LinkMbps=1000.0',
+                f'Limits.LinkMbps={self.link_mbps}',
                 'Limits.DiskMb=0',
                 'Discovery=platform',
                 'Entry=registry',
@@ -520,7 +556,9 @@
 class Answer:
     """Result of a request: its status is 0 if there was no whole answer."""
 
-    def __init__(self, status: int, fields: dict[str, str], body: bytes) -> None:
+    def __init__(
+        self, status: int, fields: dict[str, str], body: bytes
+    ) -> None:
         self.status = status
         self.fields = fields
         self.body = body
@@ -568,7 +606,9 @@
 class Deployment:
     """Store, targets, entry VMs and clients of a small deployment."""
 
-    def __init__(self, folder: Path, vms_per_zone: int, zones: list[str]) -> None:
+    def __init__(
+        self, folder: Path, vms_per_zone: int, zones: list[str]
+    ) -> None:
         self.record = Record(folder / 'record.txt')
         self.store = Store(self.record)
         self.targets: list[Target] = []
@@ -588,7 +628,9 @@
         """Folder with the logs of the VMs."""
         return self._folder
 
-    def route(self, name: str, prefix: str, service: str, **changes: object) -> dict[str, object]:
+    def route(
+        self, name: str, prefix: str, service: str, **changes: object
+    ) -> dict[str, object]:
         """Return a route of the configuration."""
         route: dict[str, object] = {
             'Name': name,
@@ -604,7 +646,9 @@
         }
         return {**route, **changes}
 
-    def configure(self, routes: list[dict[str, object]], services: list[str]) -> float:
+    def configure(
+        self, routes: list[dict[str, object]], services: list[str]
+    ) -> float:
         """Write a configuration; return when the store has confirmed it."""
         config = {
             'Version': self.version,
@@ -642,10 +686,13 @@
                 self.vms.append(EntryVm(name, zone, host, port))
         seeds = [vm.host for vm in self.vms if vm.name.endswith('-1')][:3]
         for vm in self.vms:
+            vm.link_mbps = self.store.link_mbps or vm.link_mbps
             vm.start(self._folder, seeds)
         await self.wait_until_ready()
 
-    async def add_target(self, service: str, zone: str, **options: object) -> Target:
+    async def add_target(
+        self, service: str, zone: str, **options: object
+    ) -> Target:
         """Start a target."""
         number = len(self.targets) + 1
         target = Target(self.store, f'i-{number:04x}', service, zone, **options)  # type: ignore[arg-type]
@@ -663,7 +710,14 @@
             await asyncio.sleep(0.2)
         raise CannotRunError('the VMs are not ready')
 
-    async def send(self, vm: EntryVm, path: str, method: str = 'GET', body: bytes = b'', deadline_s: float = 2.5) -> Answer:
+    async def send(
+        self,
+        vm: EntryVm,
+        path: str,
+        method: str = 'GET',
+        body: bytes = b'',
+        deadline_s: float = 2.5,
+    ) -> Answer:
         """Send a request to a VM as a client does, and record it."""
         self._requests += 1
         request_id = f'{self._requests:016x}'
@@ -687,9 +741,13 @@
 
     def start_load(self, path: str, per_s: float, **options: object) -> None:
         """Send requests at a steady rate to VMs in turn until the end."""
-        self._load.append(asyncio.create_task(self._run_load(path, per_s, options)))
+        self._load.append(
+            asyncio.create_task(self._run_load(path, per_s, options))
+        )
 
-    async def _run_load(self, path: str, per_s: float, options: dict[str, object]) -> None:
+    async def _run_load(
+        self, path: str, per_s: float, options: dict[str, object]
+    ) -> None:
         pending: set[asyncio.Task[Answer]] = set()
         number = 0
         while not self.stopping:
