--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,15 @@
 
 from standins import ZONES, Deployment, main, now_s
 
-CONFIG_S = 2.0
+CONFIG_S = 3.0
+GROWN_BOUNDS = {
+    'AckMs': '5000',
+    'CatchUpS': '6',
+    'DrainMs': '3000',
+    'ConfigMs': '3000',
+    'RetryBudgetSlack': '216',
+    'ColdSlack': '8',
+}
 SLACK_S = 0.3
 LINK_MBPS = float(os.environ.get('LINK_MBPS', '5'))
 IDLE_ROUTES = 980
@@ -46,6 +54,7 @@
 
         publish(OLD)
         deployment.store.link_mbps = LINK_MBPS
+        deployment.bounds = GROWN_BOUNDS
         await deployment.start()
         deployment.start_load('/cat/', 60)
         await asyncio.sleep(4)
