--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 
 SERVICE = 'cat'
 MIN_OUTAGE_S = 4.0
-MAX_OUTAGE_S = 8.0
+MAX_OUTAGE_S = 7.8
 JUST_ASKED_S = 0.55
 WATCHED_S = 4.0
 ROUNDS = 4
