--- a/packages/turmericpost-entry/tests/soak/vm_process.py
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -5,9 +5,10 @@
 import ctypes
 import os
 import signal
+import socket
 import subprocess
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import MappingProxyType
@@ -17,12 +18,16 @@
 
 GRACE_S = 6
 CHECK_INTERVAL_S = 0.05
-_PORTS = {'Front': 18548, 'Ready': 18542, 'Control': 18544, 'Directory': 18546}
+PORTS = {'Front': 18548, 'Ready': 18542, 'Control': 18544, 'Directory': 18546}
+INTERNAL_PORT = 18540
 _RESTART_PAUSE_S = 0.3
 _PARENT_DEATH_SIGNAL_OPTION = 1
 _KB_PER_MB = 1024
+_LISTEN_STATE = '0A'
+_NO_INODE = '0'
 _LIBC = ctypes.CDLL(None)
 _NO_VARIABLES: Mapping[str, str] = MappingProxyType({})
+_NO_LIMITS: Mapping[str, int] = MappingProxyType({})
 
 
 @dataclass(frozen=True)
@@ -36,17 +41,21 @@
     seed_host: str
     store_port: int
     domain_regions: Mapping[str, str] = field(default_factory=lambda: DOMAINS)
+    limits: Mapping[str, int] = field(default_factory=lambda: _NO_LIMITS)
 
     def text(self) -> str:
         """Return the settings file."""
         listen = [
-            f'Listen.{use}={self.host}:{port}' for use, port in _PORTS.items()
+            f'Listen.{use}={self.host}:{port}' for use, port in PORTS.items()
         ]
-        seed_port = _PORTS['Control']
+        seed_port = PORTS['Control']
         zones = [
             f'Zones.{domain}={region}'
             for domain, region in self.domain_regions.items()
         ]
+        limits = [
+            f'Limits.{name}={limit}' for name, limit in self.limits.items()
+        ]
         return '\n'.join(
             (
                 f'NodeName={self.name}',
@@ -55,7 +64,8 @@
                 f'Region={self.region}',
                 *zones,
                 *listen,
-                'InternalPortRange=18540,18541',
+                *limits,
+                f'InternalPortRange={INTERNAL_PORT},18541',
                 f'Seeds={self.seed_host}:{seed_port}',
                 f'Platform.Address=127.0.0.1:{self.store_port}',
                 'Bounds.DrainMs=2000',
@@ -108,23 +118,53 @@
     @property
     def caller_address(self) -> tuple[str, int]:
         """Address and port that callers connect to."""
-        return self.settings.host, _PORTS['Front']
+        return self.settings.host, PORTS['Front']
 
     @property
     def is_running(self) -> bool:
         """Whether there is a process, also a stopping or paused one."""
         return self._process is not None
 
+    @property
+    def pid(self) -> int:
+        """Id of the current process."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the current process has ended."""
+        return self._process is None or self._process.poll() is not None
+
+    @property
+    def descriptor_count(self) -> int:
+        """Number of open descriptors of the current process."""
+        return len(os.listdir(f'/proc/{self.pid}/fd'))
+
+    @property
+    def unread_mb(self) -> float:
+        """Size of the bytes received on its address that it has not read."""
+        queues = (fields[4] for fields in self._connections())
+        unread_bytes = sum(int(queue.partition(':')[2], 16) for queue in queues)
+        return unread_bytes / _KB_PER_MB / _KB_PER_MB
+
     @property
     def peak_memory_mb(self) -> float:
         """Largest resident size of the current process so far."""
-        assert self._process is not None
-        path = Path('/proc', str(self._process.pid), 'status')
+        path = Path('/proc', str(self.pid), 'status')
         for line in path.read_text(encoding='ascii').splitlines():
             if line.startswith('VmHWM:'):
                 return int(line.split()[1]) / _KB_PER_MB
         raise LookupError(path)
 
+    def connection_count(self, port: int) -> int:
+        """Return how many connections to a port the process holds open."""
+        suffix = format(port, '04X')
+        return sum(
+            fields[1].rpartition(':')[2] == suffix and fields[9] != _NO_INODE
+            for fields in self._connections()
+        )
+
     def is_settled(self, since_s: float) -> bool:
         """Return whether the process has run without a fault since a time."""
         if not self.is_running or self.is_paused or self.stop_begun_s:
@@ -228,6 +268,17 @@
             process.kill()
             process.wait()
 
+    def _connections(self) -> Iterator[list[str]]:
+        """Yield the fields of each connection to the address of the VM."""
+        packed = socket.inet_aton(self.settings.host)
+        address = int.from_bytes(packed, sys.byteorder)
+        host = format(address, '08X')
+        for line in Path('/proc/net/tcp').read_text('ascii').splitlines()[1:]:
+            fields = line.split()
+            is_open = fields[3] != _LISTEN_STATE
+            if is_open and fields[1].startswith(host):
+                yield fields
+
     def _resume(self, process: subprocess.Popen[bytes]) -> None:
         self.is_paused = False
         self.paused_s.append(self._reactor.seconds())
--- a/tools/check.py
+++ b/tools/check.py
@@ -24,6 +24,7 @@
 _RAN_PATTERN = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
 _FAILED_PATTERN = re.compile(r'^(?:FAIL|ERROR): (\S+) \((\S+)\)', re.MULTILINE)
 _WORKER_COUNT = 3
+_ISOLATED_FILES = 'isolated_*.py'
 
 
 @dataclass(frozen=True)
@@ -61,6 +62,16 @@
         yield Step(name, discover, tests.parent)
 
 
+def isolated_steps() -> Iterator[Step]:
+    """Yield the tests that are run one at a time, apart from other load."""
+    for tests in sorted(PACKAGES.glob('*/tests')):
+        if any(tests.rglob(_ISOLATED_FILES)):
+            name = ' '.join(('isolated tests of', tests.parent.name))
+            discover = ('-m', 'unittest', 'discover', '-s', 'tests', '-t', '.')
+            arguments = (*discover, '-p', _ISOLATED_FILES)
+            yield Step(name, arguments, tests.parent)
+
+
 def run_step(step: Step) -> StepResult:
     """Run one step and return its result."""
     begun_s = time.monotonic()
@@ -83,6 +94,7 @@
     """Run all steps, print their results and return the exit status."""
     with ThreadPoolExecutor(_WORKER_COUNT) as workers:
         step_results = tuple(workers.map(run_step, steps()))
+    step_results += tuple(map(run_step, isolated_steps()))
     known_red = _known_failing_tests()
     for step_result in step_results:
         _print_result(step_result)
