Wait for hostile connections that the VM must close

Cause: a client of a crowd counted as done a second after it had sent everything, also if the VM had not yet read it: the check of open connections depended on the speed of the machine. Change: clients whose connections must be closed are waited for, within the time of the crowd, which stays 30 s. Crowd and bounds are as before. Conclusion: the check is as strict and no longer depends on time.

--- a/packages/turmericpost-entry/tests/hostile/crowd.py
+++ b/packages/turmericpost-entry/tests/hostile/crowd.py
@@ -82,9 +82,12 @@
     def finished(self, number: int) -> None:
         """Handle a client that has sent everything.
 
-        If it has more connections to open, the VM may close this one soon.
+        If it has more connections to open, the VM may close this one soon. One
+        that must be closed is waited for.
         """
         self.complete_count += 1
+        if self.attack.must_be_closed:
+            return
         left_rounds = self._left_rounds[number]
         if left_rounds:
             self._reactor.callLater(
