Free the header fields of a request when it is over

What callers saw: a VM process that ran out of memory while clients sent heads over the limit, or requests of legal size with very many fields. Cause: a connection and its parser referred to each other, an exchange and its call too, so that the fields of closed connections stayed until a full garbage collection, which a few thousand small objects don't trigger; a connection also kept the fields of its last request while it was idle. Change: a connection closes its parser when it ends, hands its fields on with the request, and an exchange drops fields, early body and receiver at its end.

--- a/packages/turmericpost-entry/src/turmericpost/http1/client.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/client.py
@@ -147,6 +147,8 @@
         If an unframed response is accepted, a clean close completes it.
         """
         self.is_usable = False
+        self._parser.close()
+        self._headers = []
         if self._is_unframed and reason.check(ConnectionDone):
             self._response_ended = True
             self._finish()
--- a/packages/turmericpost-entry/src/turmericpost/http1/codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from httptools import (
     HttpParserError,
@@ -54,7 +54,7 @@
     """Incremental parser of the requests on one connection."""
 
     def __init__(self, sink: RequestSink) -> None:
-        self._parser = HttpRequestParser(sink)
+        self._parser: Any = HttpRequestParser(sink)
 
     @property
     def method(self) -> str:
@@ -75,12 +75,16 @@
         """Parse received bytes and call the sink."""
         return _feed(self._parser, received)
 
+    def close(self) -> None:
+        """Drop the reference to the sink, so that both can be freed."""
+        self._parser = None
+
 
 class ResponseParser:
     """Incremental parser of the responses on one connection."""
 
     def __init__(self, sink: MessageSink) -> None:
-        self._parser = HttpResponseParser(sink)
+        self._parser: Any = HttpResponseParser(sink)
 
     @property
     def status(self) -> int:
@@ -96,6 +100,10 @@
         """Parse received bytes and call the sink."""
         return _feed(self._parser, received)
 
+    def close(self) -> None:
+        """Drop the reference to the sink, so that both can be freed."""
+        self._parser = None
+
 
 def _feed(
     parser: HttpRequestParser | HttpResponseParser,
--- a/packages/turmericpost-entry/src/turmericpost/http1/exchange.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from turmericpost.http1.heads import (
@@ -67,7 +68,10 @@
 
 
 class Exchange:
-    """A request being received and its response being sent."""
+    """A request being received and its response being sent.
+
+    The header fields of the request are dropped once the exchange is over.
+    """
 
     def __init__(
         self,
@@ -170,7 +174,7 @@
     def abort(self) -> None:
         """Abort the connection because the response can't be completed."""
         if not self._is_over:
-            self._is_over = True
+            self._release()
             self._connection.abort()
 
     def receive_body(self, body: bytes) -> None:
@@ -202,8 +206,10 @@
     def caller_gone(self) -> None:
         """Notify the receiver that the caller has disconnected."""
         if not self._is_over:
-            self._is_over = True
-            self._notify(_notify_caller_gone)
+            receiver = self._receiver
+            self._release()
+            if receiver is not None:
+                receiver.caller_gone()
 
     def pause_response(self) -> None:
         """Notify the receiver that the response must be paused."""
@@ -232,8 +238,19 @@
     def _is_reusable(self) -> bool:
         return self.head.keeps_alive and self.body_ended
 
-    def _end(self) -> None:
+    def _release(self) -> None:
+        """End the exchange and drop what only a request in progress needs.
+
+        The receiver refers to the exchange, so that neither would be freed
+        before the next garbage collection.
+        """
         self._is_over = True
+        self._receiver = None
+        self._early_body = []
+        self.head = replace(self.head, headers=[])
+
+    def _end(self) -> None:
+        self._release()
         reusable = self._is_reusable and not self._has_sent_close
         self._connection.exchange_ended(reusable=reusable)
 
@@ -242,10 +259,6 @@
     receiver.body_complete()
 
 
-def _notify_caller_gone(receiver: BodyReceiver) -> None:
-    receiver.caller_gone()
-
-
 def _notify_pause_response(receiver: BodyReceiver) -> None:
     receiver.pause_response()
 
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -71,6 +71,9 @@
         """Cancel the requests in progress."""
         self._closing = True
         self._port.connections.discard(self)
+        self._parser.close()
+        self._headers = []
+        self._receiving_exchange = None
         exchanges = tuple(self._exchanges)
         self._exchanges.clear()
         for exchange in exchanges:
@@ -116,6 +119,7 @@
             self._headers,
             self._parser.keeps_alive,
         )
+        self._headers = []
         exchange = Exchange(head, self, self._port.settings.max_body_bytes)
         self._receiving_exchange = exchange
         self._exchanges.append(exchange)
@@ -259,6 +263,7 @@
             self._receiving_exchange.fail_body(reason)
             return
         self._head_started_s = None
+        self._headers = []
         head = RequestHead('', b'', [], keeps_alive=False)
         exchange = Exchange(head, self, 0)
         exchange.fail_body(reason)
