Limit all bytes that bring no request nearer

What callers saw: connections that stayed open, and were read, for as long as empty lines, chunk extensions, trailers or the body of a refused request came; a head behind a waiting request, and a trailer, grew in memory without a limit. Cause: only a head at the front of the queue was measured; every byte counted as activity, also of what was only discarded. Change: one count of bytes since the last complete head or part of a body, with the limit of a head; then the parser is dropped and reading stops. Only progress is activity. The rest of a refused request is discarded up to the limit of a body and for the limit of a silence. Conclusion: what a connection may send before it is closed is bounded.

--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -44,14 +44,18 @@
         self._receiving_exchange: Exchange | None = None
         self._target = b''
         self._headers: Headers = []
-        self._head_bytes = 0
+        self._unproductive_bytes = 0
+        self._read_bytes = 0
+        self._has_completed_message = False
         self._head_started_s: float | None = None
         self._last_activity_s = port.clock.monotonic_s()
         self._response_paused = False
         self._reading_paused = False
         self._closing = False
+        self._closing_since_s = float(0)
+        self._discarded_bytes = 0
         self._has_had_request = False
-        self._parse_failed = False
+        self._is_refused = False
 
     @property
     def is_draining(self) -> bool:
@@ -80,23 +84,33 @@
             exchange.caller_gone()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
-        """Parse received bytes; reject malformed or oversized requests."""
-        self._last_activity_s = self._port.clock.monotonic_s()
-        if self._closing or self._parse_failed:
+        """Parse received bytes; reject malformed or oversized requests.
+
+        Everything that is neither a complete head nor a body counts towards
+        the limit of a head: empty lines, heads, chunk sizes and trailers.
+        """
+        if self._closing:
+            self._discard(len(data))
             return
+        if self._is_refused:
+            return
+        self._read_bytes = len(data)
+        self._has_completed_message = False
+        self._unproductive_bytes += len(data)
         parse_result = self._parser.feed(data)
         if parse_result.is_err():
-            self._parse_failed = True
             self._reject(_codec_refusal(parse_result.unwrap_err()))
-        elif self._head_started_s is not None:
-            self._check_head_size(len(data))
+        elif self._unproductive_bytes > self._port.settings.max_header_bytes:
+            self._reject(RefusalReason.HEADERS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Handle the start of a request head."""
         self._has_had_request = True
         self._target = b''
         self._headers = []
-        self._head_bytes = 0
+        self._record_progress()
+        if not self._has_completed_message:
+            self._unproductive_bytes = self._read_bytes
         self._head_started_s = self._last_activity_s
 
     def on_url(self, target: bytes) -> None:
@@ -111,6 +125,7 @@
     def on_headers_complete(self) -> None:
         """Check the head; start an exchange or queue it behind earlier ones."""
         self._head_started_s = None
+        self._record_progress()
         if self._closing:
             return
         head = RequestHead(
@@ -138,11 +153,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
+        self._record_progress()
         if self._receiving_exchange is not None:
             self._receiving_exchange.receive_body(body)
 
     def on_message_complete(self) -> None:
         """Notify the exchange of the end of the request."""
+        self._record_progress()
+        self._has_completed_message = True
         exchange = self._receiving_exchange
         self._receiving_exchange = None
         if exchange is not None:
@@ -157,6 +175,8 @@
         """Pause or resume reading from the caller."""
         if paused == self._reading_paused:
             return
+        if self._is_refused and not (paused or self._closing):
+            return
         self._reading_paused = paused
         self._last_activity_s = self._port.clock.monotonic_s()
         if paused:
@@ -203,7 +223,7 @@
         silence_s = now_s - self._last_activity_s
         settings = self._port.settings
         if self._closing:
-            self._check_close_time(silence_s)
+            self._check_close_time(now_s)
         elif self._head_started_s is not None:
             self._check_head_time(now_s - self._head_started_s)
         elif self._exchanges:
@@ -229,13 +249,24 @@
     def stopProducing(self) -> None:
         """Ignore; ``connectionLost`` handles the same event."""
 
-    def _check_close_time(self, silence_s: float) -> None:
-        linger_s = (
-            self._port.settings.caller_silence_s
-            if self._response_paused
-            else _CLOSE_LINGER_S
-        )
-        if silence_s > linger_s:
+    def _record_progress(self) -> None:
+        self._unproductive_bytes = 0
+        self._last_activity_s = self._port.clock.monotonic_s()
+
+    def _discard(self, received_bytes: int) -> None:
+        """Discard the rest of a request that has its response already."""
+        self._last_activity_s = self._port.clock.monotonic_s()
+        self._discarded_bytes += received_bytes
+        if self._discarded_bytes > self._port.settings.max_body_bytes:
+            self.abort()
+
+    def _check_close_time(self, now_s: float) -> None:
+        """Abort a closing connection after a silence, and always in the end."""
+        max_silence_s = self._port.settings.caller_silence_s
+        linger_s = max_silence_s if self._response_paused else _CLOSE_LINGER_S
+        silence_s = now_s - self._last_activity_s
+        closing_s = now_s - self._closing_since_s
+        if silence_s > linger_s or closing_s > max(linger_s, max_silence_s):
             self.abort()
 
     def _check_head_time(self, elapsed_s: float) -> None:
@@ -251,19 +282,19 @@
         elif self._receiving_exchange is not None and not self._reading_paused:
             self._receiving_exchange.fail_body(RefusalReason.SLOW_CALLER)
 
-    def _check_head_size(self, received_bytes: int) -> None:
-        self._head_bytes += received_bytes
-        if self._head_bytes > self._port.settings.max_header_bytes:
-            self._reject(RefusalReason.HEADERS_TOO_LARGE)
-
     def _reject(self, reason: RefusalReason) -> None:
-        if self._closing:
+        """Refuse the request being received; read nothing more."""
+        if self._closing or self._is_refused:
             return
+        self._is_refused = True
+        self._parser.close()
+        self._headers = []
+        self._target = b''
+        self._head_started_s = None
+        self.pause_or_resume_reading(paused=True)
         if self._receiving_exchange is not None:
             self._receiving_exchange.fail_body(reason)
             return
-        self._head_started_s = None
-        self._headers = []
         head = RequestHead('', b'', [], keeps_alive=False)
         exchange = Exchange(head, self, 0)
         exchange.fail_body(reason)
@@ -275,13 +306,17 @@
         if self._receiving_exchange is None:
             self._close()
             return
-        self._closing = True
+        self._begin_closing()
         self.pause_or_resume_reading(paused=False)
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
 
-    def _close(self) -> None:
+    def _begin_closing(self) -> None:
         self._closing = True
+        self._closing_since_s = self._port.clock.monotonic_s()
+
+    def _close(self) -> None:
+        self._begin_closing()
         if not self._response_paused:
             self.transport.unregisterProducer()
         self.transport.loseConnection()
