Give each run of the hostile tests an address of its own

Cause: two runs on one machine used the same loopback address, so the VM of the second could not open its ports and ended. Change: the address follows from the process id. Measured: test_refused_requests_behind_a_request saw its process end beside another run, and not in a run alone. Conclusion: nothing else of the tests changes.

--- a/packages/turmericpost-entry/tests/hostile/hostile_case.py
+++ b/packages/turmericpost-entry/tests/hostile/hostile_case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import resource
 import unittest
 from hashlib import sha256
@@ -44,7 +45,7 @@
 _ALL_PORTS = MappingProxyType(
     {**PORTS, 'Internal': INTERNAL_PORT, 'Metrics': METRICS_PORT}
 )
-_HOST = '127.91.3.11'
+_HOST = f'127.91.{os.getpid() % 250}.11'
 _READY_TIMEOUT_S = 30
 _CROWD_TIMEOUT_S = 60
 _ORDINARY_TIMEOUT_S = 30
