Bound requests sent ahead, and begin none for unread responses

What callers saw: no answer to anybody for 30 s while 20 clients asked for metrics without reading them; a connection that stayed open for good after its requests sent ahead; 192 MB for small requests behind a waiting one. Cause: one read may hold thousands of requests, and each became an exchange; the next one began whether or not the response before was read; each refusal began the next from within its own end, until the recursion limit. Change: at most 64 requests are kept for a connection, a further one is refused as caller-limit (503, not run) and reading ends; exchanges begin in a loop, and none while the transport holds unread responses. Conclusion: what is sent ahead costs a bounded number of objects.

--- a/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
+++ b/packages/turmericpost-core/src/turmericpost_core/outcome/reasons.py
@@ -16,6 +16,8 @@
 class RefusalReason(Enum):
     """Why a call ends without the response of a backend server.
 
+    ``CALLER_LIMIT`` means that callers hold too much of this VM's memory or that
+    too many requests were sent ahead on a connection,
     ``TOO_DEEP`` means that the call has already passed too many VMs,
     ``STATE_BEHIND`` that its route may be in a configuration that other VMs have.
     """
@@ -24,6 +26,7 @@
     HEADERS_TOO_LARGE = 'headers-too-large'
     BODY_TOO_LARGE = 'body-too-large'
     SLOW_CALLER = 'slow-caller'
+    CALLER_LIMIT = 'caller-limit'
     UPGRADE_UNSUPPORTED = 'upgrade-unsupported'
     TOO_DEEP = 'too-deep'
     NOT_READY = 'not-ready'
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -22,6 +22,7 @@
 
 _HTTP_VERSION = '1.1'
 _MAX_PIPELINED_EXCHANGES = 8
+_MAX_EXCHANGES = 64
 _CLOSE_LINGER_S = 1
 _MIN_SILENCE_S = 0.1
 _MIN_SILENCE_WITHOUT_REQUEST_S = 1.0
@@ -56,6 +57,9 @@
         self._discarded_bytes = 0
         self._has_had_request = False
         self._is_refused = False
+        self._has_too_many_requests = False
+        self._is_beginning = False
+        self._begun_exchange: Exchange | None = None
 
     @property
     def is_draining(self) -> bool:
@@ -78,6 +82,7 @@
         self._parser.close()
         self._headers = []
         self._receiving_exchange = None
+        self._begun_exchange = None
         exchanges = tuple(self._exchanges)
         self._exchanges.clear()
         for exchange in exchanges:
@@ -102,6 +107,8 @@
             self._reject(_codec_refusal(parse_result.unwrap_err()))
         elif self._unproductive_bytes > self._port.settings.max_header_bytes:
             self._reject(RefusalReason.HEADERS_TOO_LARGE)
+        elif self._has_too_many_requests:
+            self._reject(RefusalReason.CALLER_LIMIT)
 
     def on_message_begin(self) -> None:
         """Handle the start of a request head."""
@@ -126,7 +133,10 @@
         """Check the head; start an exchange or queue it behind earlier ones."""
         self._head_started_s = None
         self._record_progress()
-        if self._closing:
+        if self._closing or self._has_too_many_requests:
+            return
+        if len(self._exchanges) >= _MAX_EXCHANGES:
+            self._has_too_many_requests = True
             return
         head = RequestHead(
             self._parser.method,
@@ -146,10 +156,9 @@
             exchange.fail_body(RefusalReason.HEADERS_TOO_LARGE)
         if head.content_length == 0:
             exchange.end_body()
-        if len(self._exchanges) == 1:
-            self._port.begin(exchange)
-        elif len(self._exchanges) > _MAX_PIPELINED_EXCHANGES:
+        if len(self._exchanges) > _MAX_PIPELINED_EXCHANGES:
             self.pause_or_resume_reading(paused=True)
+        self._begin_exchanges()
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
@@ -191,9 +200,11 @@
         if not reusable:
             self._close_after_response()
         elif not self._closing:
-            self.pause_or_resume_reading(paused=False)
-            if self._exchanges:
-                self._port.begin(self._exchanges[0])
+            queued = len(self._exchanges)
+            self.pause_or_resume_reading(
+                paused=queued > _MAX_PIPELINED_EXCHANGES
+            )
+            self._begin_exchanges()
 
     def abort(self) -> None:
         """Abort the connection."""
@@ -245,6 +256,7 @@
             self.transport.unregisterProducer()
         elif self._exchanges:
             self._exchanges[0].resume_response()
+            self._begin_exchanges()
 
     def stopProducing(self) -> None:
         """Ignore; ``connectionLost`` handles the same event."""
@@ -299,8 +311,25 @@
         exchange = Exchange(head, self, 0)
         exchange.fail_body(reason)
         self._exchanges.append(exchange)
-        if len(self._exchanges) == 1:
-            self._port.begin(exchange)
+        self._begin_exchanges()
+
+    def _begin_exchanges(self) -> None:
+        """Begin the first exchange, and the next ones as far as these end.
+
+        None begins while the caller does not read the responses before.
+        """
+        if self._is_beginning:
+            return
+        self._is_beginning = True
+        while self._may_begin():
+            self._begun_exchange = self._exchanges[0]
+            self._port.begin(self._begun_exchange)
+        self._is_beginning = False
+
+    def _may_begin(self) -> bool:
+        if not self._exchanges or self._closing or self._response_paused:
+            return False
+        return self._exchanges[0] is not self._begun_exchange
 
     def _close_after_response(self) -> None:
         if self._receiving_exchange is None:
