Keep the parts of a request body in one buffer

What callers saw: no answer to anybody for more than 30 s while 20 clients sent bodies of one-byte chunks behind a waiting request. Cause: each chunk became an object in a list, and the whole list was summed for each further chunk: time grew with the square of their number, memory with many times the bytes. Change: the early body of an exchange and the body kept for retries are one buffer each, which knows its size. Conclusion: a body costs its bytes, however it is chunked.

--- a/packages/turmericpost-entry/src/turmericpost/forward/request_body.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/request_body.py
@@ -21,14 +21,13 @@
         self.is_replayable = True
         self._chunked = chunked
         self._max_replay_bytes = max_replay_bytes
-        self._replay_parts: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffer = bytearray()
         self._connection: BackendConnection | None = None
 
     @property
     def unsent_bytes(self) -> int:
         """Number of buffered bytes; 0 while a connection is attached."""
-        return self._buffered_bytes if self._connection is None else 0
+        return len(self._buffer) if self._connection is None else 0
 
     def add(self, body: bytes) -> None:
         """Buffer a part of the body and send it to the attached connection."""
@@ -49,10 +48,10 @@
         replay limit is no longer buffered and can't be sent again.
         """
         self._connection = connection
-        wire = b''.join(self._encode(body) for body in self._replay_parts)
-        if self._buffered_bytes > self._max_replay_bytes:
+        wire = self._encode(bytes(self._buffer)) if self._buffer else b''
+        if len(self._buffer) > self._max_replay_bytes:
             self.is_replayable = False
-            self._replay_parts.clear()
+            self._buffer.clear()
         if self.is_complete and self._chunked:
             wire += LAST_CHUNK
         return wire
@@ -62,12 +61,11 @@
         self._connection = None
 
     def _buffer_part(self, body: bytes) -> None:
-        self._replay_parts.append(body)
-        self._buffered_bytes += len(body)
+        self._buffer += body
         is_sent = self._connection is not None
-        if self._buffered_bytes > self._max_replay_bytes and is_sent:
+        if len(self._buffer) > self._max_replay_bytes and is_sent:
             self.is_replayable = False
-            self._replay_parts.clear()
+            self._buffer.clear()
 
     def _send_end(self) -> None:
         if self._connection is not None and self._chunked:
--- a/packages/turmericpost-entry/src/turmericpost/http1/exchange.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/exchange.py
@@ -83,7 +83,7 @@
         self.body_ended = False
         self._connection = connection
         self._receiver: BodyReceiver | None = None
-        self._early_body: list[bytes] = []
+        self._early_body = bytearray()
         self._remaining_body_bytes = max_body_bytes
         self._failure: RefusalReason | None = None
         self._response_chunked = False
@@ -105,11 +105,11 @@
         self._receiver = receiver
         if not self.body_ended and self.head.first(EXPECT):
             self._connection.write(CONTINUE)
-        early_body = self._early_body
-        self._early_body = []
+        early_body = bytes(self._early_body)
+        self._early_body.clear()
         self.resume_body()
-        for body in early_body:
-            receiver.body_received(body)
+        if early_body:
+            receiver.body_received(early_body)
         if self._failure is not None:
             receiver.body_failed(self._failure)
         elif self.body_ended:
@@ -220,8 +220,8 @@
         self._notify(_notify_resume_response)
 
     def _buffer_early_body(self, body: bytes) -> None:
-        self._early_body.append(body)
-        if sum(map(len, self._early_body)) > _MAX_EARLY_BODY_BYTES:
+        self._early_body += body
+        if len(self._early_body) > _MAX_EARLY_BODY_BYTES:
             self.pause_body()
 
     def _notify(self, notification: Callable[[BodyReceiver], None]) -> None:
@@ -246,7 +246,7 @@
         """
         self._is_over = True
         self._receiver = None
-        self._early_body = []
+        self._early_body.clear()
         self.head = replace(self.head, headers=[])
 
     def _end(self) -> None:
--- a/packages/turmericpost-entry/tests/hostile/hostile_case.py
+++ b/packages/turmericpost-entry/tests/hostile/hostile_case.py
@@ -45,7 +45,8 @@
 _ALL_PORTS = MappingProxyType(
     {**PORTS, 'Internal': INTERNAL_PORT, 'Metrics': METRICS_PORT}
 )
-_HOST = f'127.91.{os.getpid() % 250}.11'
+_NETWORK_NUMBER = os.getpid() % 250
+_HOST = f'127.91.{_NETWORK_NUMBER}.11'
 _READY_TIMEOUT_S = 30
 _CROWD_TIMEOUT_S = 60
 _ORDINARY_TIMEOUT_S = 30
