Limit the connections of each port, and their receive buffers

What callers saw: connections that send nothing take the descriptors that a VM needs for the store and its servers; bytes that were received and not yet read came to 60 MB on 280 connections. Cause: no port had a limit of connections, and receive buffers grew by themselves. Change: callers have half of the sockets, address queries with readiness checks and metrics an eighth, updates for other VMs a sixteenth. Beyond that the oldest connection without a complete request is closed, else the one that is idle for longest; requests in progress keep theirs. Receive buffers have 32 KB. Conclusion: nobody can take what the VM needs to serve others.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -32,6 +32,7 @@
 from turmericpost.observe.events import log_failure
 from turmericpost_core.fleet.state import FleetState, FleetUpdate, KnownVersions
 from turmericpost_core.fleet.state_lag import BUSY
+from turmericpost_core.limits.connection_slots import ConnectionSlots
 from turmericpost_core.membership.domain_view import Vm
 
 STREAM_TIMEOUT_S = 1.0
@@ -66,17 +67,23 @@
     """Serves state updates to other VMs.
 
     ``on_failure`` is called after an update could not be encoded. Its stream is
-    aborted, so that the other VM does not take this one for busy.
+    aborted, so that the other VM does not take this one for busy. Beyond
+    ``max_streams`` the oldest one without a request is aborted.
     """
 
     noisy = False
 
     def __init__(
-        self, state: FleetState, reactor: Any, on_failure: Callable[[], None]
+        self,
+        state: FleetState,
+        reactor: Any,
+        on_failure: Callable[[], None],
+        max_streams: int,
     ) -> None:
         self.reactor = reactor
         self.on_failure = on_failure
         self.sending_bytes = 0
+        self.streams = ConnectionSlots[_UpdateResponder](max_streams)
         self._state = state
         self._encoded_updates: dict[KnownVersions, bytes] = {}
         self._encoded_basis = (KnownVersions(), True)
@@ -185,11 +192,14 @@
         self._request = msgpack.Unpacker(max_buffer_size=MAX_REQUEST_BYTES)
 
     def connectionMade(self) -> None:
-        """Start the timeout of the stream."""
+        """Start the timeout of the stream; abort another one if need be."""
         self._timer = self._server.reactor.callLater(
             STREAM_TIMEOUT_S,
             self.transport.abortConnection,
         )
+        closed_stream = self._server.streams.add(self)
+        if closed_stream is not None:
+            closed_stream.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         """Respond once the request is complete."""
@@ -199,10 +209,12 @@
             self.transport.abortConnection()
             return
         if fields is not None:
+            self._server.streams.mark_busy(self)
             self._respond(fields)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Subtract the bytes of this stream from those being sent."""
+        self._server.streams.remove(self)
         self._server.sending_bytes -= self._own_sending_bytes
         if self._timer.active():
             self._timer.cancel()
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -30,8 +30,14 @@
     GatewayMetrics,
 )
 from turmericpost.gateway.peer_discovery import PeerDiscovery
-from turmericpost.gateway.ports import limited_settings, new_caller_port
-from turmericpost.gateway.settings import Address, GatewaySettings
+from turmericpost.gateway.ports import (
+    SocketShare,
+    limited_settings,
+    listen,
+    max_connections,
+    new_caller_port,
+)
+from turmericpost.gateway.settings import GatewaySettings
 from turmericpost.http1.listen_drain import close_listening_port
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.reactor_clock import ReactorClock
@@ -47,10 +53,6 @@
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 from turmericpost_core.outcome.reasons import RefusalReason
 
-ACCEPT_BACKLOG = 511
-"""Maximum number of connections waiting to be accepted: more than a failure
-domain has callers."""
-
 MAX_DATAGRAM_BYTES = 65536
 """Size up to which datagrams are read whole: more than any datagram has."""
 
@@ -233,6 +235,7 @@
             self.ingress.begin,
             self.clock,
             self._record_refusal,
+            max_connections(settings.resources, SocketShare.CALLERS),
         )
 
     def _open_ports(self) -> None:
@@ -257,24 +260,26 @@
             endpoints.begin,
             self.clock,
             self._record_refusal,
+            max_connections(settings.resources, SocketShare.ENDPOINTS),
         )
-        self._listening_caller_port = self._listen(
-            settings.callers, self._caller_port
+        self._listening_caller_port = listen(
+            self._reactor, settings.callers, self._caller_port
         )
         for address in (
             settings.readiness,
             settings.directory,
             settings.metrics,
         ):
-            self._listen(address, self._endpoint_port)
+            listen(self._reactor, address, self._endpoint_port)
         peer_address = (settings.host, settings.peer_port)
         monitor = self.state_sync.monitor
         update_server = UpdateServer(
             self.state,
             self._reactor,
             lambda: monitor.failed(StateWay.SERVE_FETCH, EXCEPTION),
+            max_connections(settings.resources, SocketShare.PEERS),
         )
-        self._listen(peer_address, update_server)
+        listen(self._reactor, peer_address, update_server)
         self._reactor.listenUDP(
             settings.peer_port,
             self.peers,
@@ -282,15 +287,6 @@
             maxPacketSize=MAX_DATAGRAM_BYTES,
         )
 
-    def _listen(self, address: Address, factory: Any) -> Any:
-        host, port = address
-        return self._reactor.listenTCP(
-            port,
-            factory,
-            backlog=ACCEPT_BACKLOG,
-            interface=host,
-        )
-
     async def _send_heartbeats(self) -> None:
         while True:
             pause_s = self.peers.send_due_heartbeats()
@@ -310,7 +306,7 @@
                 config.services
             )
             self._caller_port.settings = limited_settings(
-                self._settings.callers,
+                self._caller_port.settings,
                 config.limits,
             )
         self._update_readiness()
--- a/packages/turmericpost-entry/src/turmericpost/gateway/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/settings.py
@@ -30,6 +30,14 @@
     retry_window_s: float
 
 
+@dataclass(frozen=True)
+class VmResources:
+    """Memory and descriptors that the VM has for this process."""
+
+    memory_bytes: int = 209_715_200
+    max_descriptors: int = 1024
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """Identity, listening addresses and peers of an entry VM.
@@ -52,3 +60,4 @@
     seed_hosts: tuple[str, ...]
     store: Address
     operating_bounds: OperatingBounds
+    resources: VmResources = VmResources()
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import TypeAlias
 
 from twisted.internet.interfaces import IAddress, IPushProducer
@@ -18,6 +19,7 @@
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.http1.strict import asks_for_upgrade, is_malformed
 from turmericpost_core.clock import Clock
+from turmericpost_core.limits.connection_slots import ConnectionSlots
 from turmericpost_core.outcome.reasons import RefusalReason
 
 _HTTP_VERSION = '1.1'
@@ -30,6 +32,14 @@
 ExchangeHandler: TypeAlias = Callable[[Exchange], None]
 
 
+class _SlotState(Enum):
+    """Whether a connection may be closed for a new one, and how soon."""
+
+    INCOMPLETE = 'incomplete'
+    BUSY = 'busy'
+    IDLE = 'idle'
+
+
 @implementer(IPushProducer)
 class CallerConnection(Protocol):
     """One connection from a caller.
@@ -60,6 +70,7 @@
         self._has_too_many_requests = False
         self._is_beginning = False
         self._begun_exchange: Exchange | None = None
+        self._slot_state = _SlotState.INCOMPLETE
 
     @property
     def is_draining(self) -> bool:
@@ -68,7 +79,7 @@
 
     def connectionMade(self) -> None:
         """Set up the transport."""
-        self._port.connections.add(self)
+        self._port.add(self)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
@@ -78,7 +89,7 @@
     ) -> None:
         """Cancel the requests in progress."""
         self._closing = True
-        self._port.connections.discard(self)
+        self._port.remove(self)
         self._parser.close()
         self._headers = []
         self._receiving_exchange = None
@@ -109,6 +120,7 @@
             self._reject(RefusalReason.HEADERS_TOO_LARGE)
         elif self._has_too_many_requests:
             self._reject(RefusalReason.CALLER_LIMIT)
+        self._update_slot()
 
     def on_message_begin(self) -> None:
         """Handle the start of a request head."""
@@ -205,6 +217,7 @@
                 paused=queued > _MAX_PIPELINED_EXCHANGES
             )
             self._begin_exchanges()
+        self._update_slot()
 
     def abort(self) -> None:
         """Abort the connection."""
@@ -340,6 +353,21 @@
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
 
+    def _update_slot(self) -> None:
+        state = self._current_slot_state()
+        if state is not self._slot_state:
+            self._slot_state = state
+            self._port.mark(self, state)
+
+    def _current_slot_state(self) -> _SlotState:
+        if self._closing:
+            return _SlotState.IDLE
+        if self._exchanges:
+            is_complete = self._exchanges[0].body_ended
+            return _SlotState.BUSY if is_complete else _SlotState.INCOMPLETE
+        is_new = self._head_started_s is not None or not self._has_had_request
+        return _SlotState.INCOMPLETE if is_new else _SlotState.IDLE
+
     def _begin_closing(self) -> None:
         self._closing = True
         self._closing_since_s = self._port.clock.monotonic_s()
@@ -368,12 +396,37 @@
         self.clock = clock
         self.is_draining = False
         self.connections: set[CallerConnection] = set()
+        self._slots = ConnectionSlots[CallerConnection](
+            settings.max_caller_connections
+        )
         self._record_refusal = record_refusal
 
     def buildProtocol(self, addr: IAddress) -> CallerConnection:
         """Return the protocol of a new connection."""
         return CallerConnection(self)
 
+    def add(self, connection: CallerConnection) -> None:
+        """Add a new connection; close another one if there are too many."""
+        self.connections.add(connection)
+        closed_connection = self._slots.add(connection)
+        if closed_connection is not None:
+            self._record_refusal(RefusalReason.CALLER_LIMIT)
+            closed_connection.abort()
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Remove a connection that has closed."""
+        self.connections.discard(connection)
+        self._slots.remove(connection)
+
+    def mark(self, connection: CallerConnection, state: _SlotState) -> None:
+        """Record whether the connection may be closed for a new one."""
+        if state is _SlotState.BUSY:
+            self._slots.mark_busy(connection)
+        elif state is _SlotState.IDLE:
+            self._slots.mark_idle(connection)
+        else:
+            self._slots.mark_incomplete(connection)
+
     def record_slow_reader(self) -> None:
         """Count a caller that stopped reading its response."""
         self._record_refusal(RefusalReason.SLOW_CALLER)
--- a/packages/turmericpost-entry/src/turmericpost/http1/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/settings.py
@@ -42,3 +42,9 @@
         default=75,
         bounds=Bounds(1, 86400),
     )
+    max_caller_connections: int = setting(
+        'most caller connections; beyond them, the oldest one without a '
+        'complete request is closed, else the one that is idle for longest',
+        default=600,
+        bounds=Bounds(1, 1048576),
+    )
--- a/packages/turmericpost-entry/src/turmericpost/platform/settings_file.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/settings_file.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from result import Err, Ok, Result
@@ -12,6 +12,7 @@
     Address,
     GatewaySettings,
     OperatingBounds,
+    VmResources,
 )
 
 PATH_VARIABLE = 'TURMERICPOST_BOOT'
@@ -19,7 +20,10 @@
 METRICS_PATH = '/metrics'
 
 _ZONE_PREFIX = 'Zones.'
+_MEMORY_MB = 'Limits.MemoryMb'
+_MAX_DESCRIPTORS = 'Limits.MaxFds'
 _MS_PER_S = 1000
+_BYTES_PER_MB = 1_000_000
 
 
 @dataclass(frozen=True)
@@ -84,9 +88,24 @@
         seed_hosts=tuple(seed.rpartition(':')[0] for seed in seeds if seed),
         store=_decode_address(fields, 'Platform.Address'),
         operating_bounds=_decode_operating_bounds(fields),
+        resources=_decode_resources(fields),
     )
 
 
+def _decode_resources(fields: Mapping[str, str]) -> VmResources:
+    """Decode the limits of the machine; missing ones have defaults."""
+    resources = VmResources()
+    if _MEMORY_MB in fields:
+        memory_mb = _decode_number(fields, _MEMORY_MB)
+        resources = replace(
+            resources, memory_bytes=int(memory_mb * _BYTES_PER_MB)
+        )
+    if _MAX_DESCRIPTORS in fields:
+        max_descriptors = int(_decode_number(fields, _MAX_DESCRIPTORS))
+        resources = replace(resources, max_descriptors=max_descriptors)
+    return resources
+
+
 def _decode_operating_bounds(fields: Mapping[str, str]) -> OperatingBounds:
     return OperatingBounds(
         drain_s=_decode_number(fields, 'Bounds.DrainMs') / _MS_PER_S,
--- a/packages/turmericpost-entry/tests/fleet/test_update_stream.py
+++ b/packages/turmericpost-entry/tests/fleet/test_update_stream.py
@@ -142,7 +142,10 @@
         self.state = large_state()
         self.failures: list[str] = []
         self.server = UpdateServer(
-            self.state, self.reactor, lambda: self.failures.append('exception')
+            self.state,
+            self.reactor,
+            lambda: self.failures.append('exception'),
+            max_streams=64,
         )
 
     # Guards against VMs that fetch again and again: a registry that has settled
--- a/packages/turmericpost-entry/tests/gateway/node_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/node_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from unittest.mock import Mock
 
 from twisted.internet.testing import MemoryReactorClock
@@ -31,6 +32,14 @@
 def started_node(reactor: MemoryReactorClock) -> GatewayNode:
     """Return a VM that has opened its ports."""
     reactor.listenUDP = Mock()
+    listen_tcp = reactor.listenTCP
+
+    def listen_with_socket(*arguments: Any, **options: Any) -> Any:
+        port = listen_tcp(*arguments, **options)
+        port.socket = Mock()
+        return port
+
+    reactor.listenTCP = listen_with_socket
     node = GatewayNode(
         reactor,
         _SETTINGS,
