Limit the memory that callers use together

What callers saw: requests of legal size, made of very many short fields, or bodies of legal size, unfinished or waiting on many connections, filled the memory of a VM: each was within its limit, their sum was not. Cause: limits were for one request; a field of 5 bytes costs 176 more, and nobody summed heads, bodies and unread responses over all connections. Change: one budget for a port (an eighth of the VM's memory for callers, a thirty-second for its endpoints) with an equal part for each connection. Who is above his part while the sum is above the budget is refused as caller-limit (503, not run, Retry-After), or cut if it is a response that he doesn't read. Reads and unsent responses are measured in 16 KB.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -31,7 +31,9 @@
 )
 from turmericpost.gateway.peer_discovery import PeerDiscovery
 from turmericpost.gateway.ports import (
-    SocketShare,
+    CALLERS,
+    ENDPOINTS,
+    PEER_SOCKETS,
     limited_settings,
     listen,
     max_connections,
@@ -235,7 +237,8 @@
             self.ingress.begin,
             self.clock,
             self._record_refusal,
-            max_connections(settings.resources, SocketShare.CALLERS),
+            settings.resources,
+            CALLERS,
         )
 
     def _open_ports(self) -> None:
@@ -260,7 +263,8 @@
             endpoints.begin,
             self.clock,
             self._record_refusal,
-            max_connections(settings.resources, SocketShare.ENDPOINTS),
+            settings.resources,
+            ENDPOINTS,
         )
         self._listening_caller_port = listen(
             self._reactor, settings.callers, self._caller_port
@@ -277,7 +281,7 @@
             self.state,
             self._reactor,
             lambda: monitor.failed(StateWay.SERVE_FETCH, EXCEPTION),
-            max_connections(settings.resources, SocketShare.PEERS),
+            max_connections(settings.resources, PEER_SOCKETS),
         )
         listen(self._reactor, peer_address, update_server)
         self._reactor.listenUDP(
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ports.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ports.py
@@ -4,8 +4,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import replace
-from enum import Enum
+from dataclasses import dataclass, replace
 from typing import Any
 
 from turmericpost.gateway.settings import Address, VmResources
@@ -33,22 +32,35 @@
 before the process reads it: more than the usual request has."""
 
 
-class SocketShare(Enum):
-    """Shares of the sockets; the store and backend servers have the rest.
+@dataclass(frozen=True)
+class PortShare:
+    """Share of the VM's sockets and memory that a port may use."""
 
-    ``ENDPOINTS`` are address queries, readiness checks and metrics, ``PEERS``
-    the state updates to other VMs.
-    """
+    sockets: float
+    memory: float
+
+
+_CALLER_SOCKETS = 0.5
+_CALLER_MEMORY = 0.125
+CALLERS = PortShare(_CALLER_SOCKETS, _CALLER_MEMORY)
+"""Share of the callers."""
 
-    CALLERS = 0.5
-    ENDPOINTS = 0.125
-    PEERS = 0.0625
+_ENDPOINT_SOCKETS = 0.125
+_ENDPOINT_MEMORY = 0.03125
+ENDPOINTS = PortShare(_ENDPOINT_SOCKETS, _ENDPOINT_MEMORY)
+"""Share of address queries, readiness checks and metrics."""
 
+PEER_SOCKETS = 0.0625
+"""Share of the sockets for state updates to other VMs."""
 
-def max_connections(resources: VmResources, share: SocketShare) -> int:
-    """Return how many connections a share of the sockets is, at least one."""
+
+def max_connections(resources: VmResources, share: float) -> int:
+    """Return how many connections a share of the sockets is, at least one.
+
+    The store and backend servers have what no share takes.
+    """
     sockets = resources.max_descriptors - FILE_DESCRIPTORS
-    return max(int(sockets * share.value), 1)
+    return max(int(sockets * share), 1)
 
 
 def listen(reactor: Any, address: Address, factory: Any) -> Any:
@@ -71,7 +83,8 @@
     begin: ExchangeHandler,
     clock: Clock,
     record_refusal: Callable[[RefusalReason], None],
-    max_caller_connections: int,
+    resources: VmResources,
+    share: PortShare,
 ) -> CallerPort:
     """Return a port with default limits of requests.
 
@@ -81,7 +94,8 @@
     settings = CallerSettings(
         caller_host=host,
         caller_port=port,
-        max_caller_connections=max_caller_connections,
+        max_caller_connections=max_connections(resources, share.sockets),
+        max_caller_memory_bytes=int(resources.memory_bytes * share.memory),
     )
     return CallerPort(begin, settings, clock, record_refusal)
 
--- a/packages/turmericpost-entry/src/turmericpost/http1/exchange.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/exchange.py
@@ -21,6 +21,7 @@
 from turmericpost_core.outcome.reasons import RefusalReason
 
 _MAX_EARLY_BODY_BYTES = 65536
+_MAX_BUFFERED_BODY_BYTES = 327680
 _CLOSE_HEADER = (CONNECTION, b'close')
 _CHUNKED_HEADER = (TRANSFER_ENCODING, b'chunked')
 
@@ -78,6 +79,7 @@
         head: RequestHead,
         connection: ExchangeConnection,
         max_body_bytes: int,
+        head_memory_bytes: int = 0,
     ) -> None:
         self.head = head
         self.body_ended = False
@@ -85,6 +87,8 @@
         self._receiver: BodyReceiver | None = None
         self._early_body = bytearray()
         self._remaining_body_bytes = max_body_bytes
+        self._head_memory_bytes = head_memory_bytes
+        self._body_memory_bytes = 0
         self._failure: RefusalReason | None = None
         self._response_chunked = False
         self._has_sent_close = False
@@ -95,6 +99,13 @@
         """Whether the response has been sent or the exchange was aborted."""
         return self._is_over
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory in use for the head and for the body, at the most."""
+        if self._is_over:
+            return 0
+        return self._head_memory_bytes + self._body_memory_bytes
+
     @property
     def failure(self) -> RefusalReason | None:
         """Why the request can't be received completely, ``None`` if it can."""
@@ -182,6 +193,9 @@
         if self._is_over:
             return
         self._remaining_body_bytes -= len(body)
+        self._body_memory_bytes = min(
+            self._body_memory_bytes + len(body), _MAX_BUFFERED_BODY_BYTES
+        )
         if self._remaining_body_bytes < 0:
             self.fail_body(RefusalReason.BODY_TOO_LARGE)
         elif self._receiver is None:
@@ -203,6 +217,11 @@
         self._failure = reason
         self._notify(lambda receiver: receiver.body_failed(reason))
 
+    def refuse_head(self, reason: RefusalReason) -> None:
+        """Refuse the request before it begins, and drop its fields."""
+        self.fail_body(reason)
+        self._drop_fields()
+
     def caller_gone(self) -> None:
         """Notify the receiver that the caller has disconnected."""
         if not self._is_over:
@@ -247,6 +266,10 @@
         self._is_over = True
         self._receiver = None
         self._early_body.clear()
+        self._drop_fields()
+
+    def _drop_fields(self) -> None:
+        self._head_memory_bytes = 0
         self.head = replace(self.head, headers=[])
 
     def _end(self) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -20,11 +20,14 @@
 from turmericpost.http1.strict import asks_for_upgrade, is_malformed
 from turmericpost_core.clock import Clock
 from turmericpost_core.limits.connection_slots import ConnectionSlots
+from turmericpost_core.limits.shared_memory_budget import SharedMemoryBudget
 from turmericpost_core.outcome.reasons import RefusalReason
 
 _HTTP_VERSION = '1.1'
 _MAX_PIPELINED_EXCHANGES = 8
 _MAX_EXCHANGES = 64
+_READ_BYTES = 16384
+_FIELD_MEMORY_BYTES = 176
 _CLOSE_LINGER_S = 1
 _MIN_SILENCE_S = 0.1
 _MIN_SILENCE_WITHOUT_REQUEST_S = 1.0
@@ -67,10 +70,13 @@
         self._discarded_bytes = 0
         self._has_had_request = False
         self._is_refused = False
-        self._has_too_many_requests = False
+        self._is_over_limit = False
         self._is_beginning = False
         self._begun_exchange: Exchange | None = None
         self._slot_state = _SlotState.INCOMPLETE
+        self._head_memory_bytes = 0
+        self._unread_response_bytes = 0
+        self._memory_bytes = 0
 
     @property
     def is_draining(self) -> bool:
@@ -81,6 +87,8 @@
         """Set up the transport."""
         self._port.add(self)
         self.transport.setTcpNoDelay(True)
+        # Also the size of unsent responses from which the producer is paused.
+        self.transport.bufferSize = _READ_BYTES
         self.transport.registerProducer(self, True)
 
     def connectionLost(
@@ -98,6 +106,8 @@
         self._exchanges.clear()
         for exchange in exchanges:
             exchange.caller_gone()
+        self._port.memory.change(-self._memory_bytes)
+        self._memory_bytes = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; reject malformed or oversized requests.
@@ -107,26 +117,18 @@
         """
         if self._closing:
             self._discard(len(data))
-            return
-        if self._is_refused:
-            return
-        self._read_bytes = len(data)
-        self._has_completed_message = False
-        self._unproductive_bytes += len(data)
-        parse_result = self._parser.feed(data)
-        if parse_result.is_err():
-            self._reject(_codec_refusal(parse_result.unwrap_err()))
-        elif self._unproductive_bytes > self._port.settings.max_header_bytes:
-            self._reject(RefusalReason.HEADERS_TOO_LARGE)
-        elif self._has_too_many_requests:
-            self._reject(RefusalReason.CALLER_LIMIT)
-        self._update_slot()
+        elif not self._is_refused:
+            reason = self._parse(data)
+            if reason is not None:
+                self._reject(reason)
+            self._update_slot()
 
     def on_message_begin(self) -> None:
         """Handle the start of a request head."""
         self._has_had_request = True
         self._target = b''
         self._headers = []
+        self._head_memory_bytes = 0
         self._record_progress()
         if not self._has_completed_message:
             self._unproductive_bytes = self._read_bytes
@@ -140,15 +142,18 @@
         """Store a header field; trailer fields are dropped."""
         if self._head_started_s is not None:
             self._headers.append((name.lower(), text))
+            self._head_memory_bytes += (
+                len(name) + len(text) + _FIELD_MEMORY_BYTES
+            )
 
     def on_headers_complete(self) -> None:
         """Check the head; start an exchange or queue it behind earlier ones."""
         self._head_started_s = None
         self._record_progress()
-        if self._closing or self._has_too_many_requests:
+        if self._closing or self._is_over_limit:
             return
         if len(self._exchanges) >= _MAX_EXCHANGES:
-            self._has_too_many_requests = True
+            self._is_over_limit = True
             return
         head = RequestHead(
             self._parser.method,
@@ -156,10 +161,19 @@
             self._headers,
             self._parser.keeps_alive,
         )
+        exchange = Exchange(
+            head,
+            self,
+            self._port.settings.max_body_bytes,
+            self._head_memory_bytes + len(self._target),
+        )
         self._headers = []
-        exchange = Exchange(head, self, self._port.settings.max_body_bytes)
+        self._head_memory_bytes = 0
         self._receiving_exchange = exchange
         self._exchanges.append(exchange)
+        if not self._may_use_memory():
+            self._is_over_limit = True
+            exchange.refuse_head(RefusalReason.CALLER_LIMIT)
         if self._parser.version != _HTTP_VERSION or is_malformed(head):
             exchange.fail_body(RefusalReason.MALFORMED_REQUEST)
         if asks_for_upgrade(head):
@@ -191,6 +205,11 @@
         """Send bytes to the caller."""
         self._last_activity_s = self._port.clock.monotonic_s()
         self.transport.write(wire)
+        if self._response_paused:
+            self._unread_response_bytes += len(wire)
+            if not self._may_use_memory():
+                self._port.record_slow_reader()
+                self.abort()
 
     def pause_or_resume_reading(self, *, paused: bool) -> None:
         """Pause or resume reading from the caller."""
@@ -217,6 +236,7 @@
                 paused=queued > _MAX_PIPELINED_EXCHANGES
             )
             self._begin_exchanges()
+        self._record_memory()
         self._update_slot()
 
     def abort(self) -> None:
@@ -249,7 +269,8 @@
         if self._closing:
             self._check_close_time(now_s)
         elif self._head_started_s is not None:
-            self._check_head_time(now_s - self._head_started_s)
+            head_s = now_s - self._head_started_s
+            self._check_head_time(head_s, settings.caller_silence_s)
         elif self._exchanges:
             self._check_exchange_silence(silence_s)
         elif silence_s > settings.caller_idle_s:
@@ -264,12 +285,14 @@
     def resumeProducing(self) -> None:
         """Resume the response because the caller reads again."""
         self._response_paused = False
+        self._unread_response_bytes = 0
         self._last_activity_s = self._port.clock.monotonic_s()
         if self._closing:
             self.transport.unregisterProducer()
         elif self._exchanges:
             self._exchanges[0].resume_response()
             self._begin_exchanges()
+        self._record_memory()
 
     def stopProducing(self) -> None:
         """Ignore; ``connectionLost`` handles the same event."""
@@ -294,8 +317,8 @@
         if silence_s > linger_s or closing_s > max(linger_s, max_silence_s):
             self.abort()
 
-    def _check_head_time(self, elapsed_s: float) -> None:
-        if elapsed_s > self._port.settings.caller_silence_s:
+    def _check_head_time(self, head_s: float, max_head_s: float) -> None:
+        if head_s > max_head_s:
             self._reject(RefusalReason.SLOW_CALLER)
 
     def _check_exchange_silence(self, silence_s: float) -> None:
@@ -315,6 +338,8 @@
         self._parser.close()
         self._headers = []
         self._target = b''
+        self._head_memory_bytes = 0
+        self._unproductive_bytes = 0
         self._head_started_s = None
         self.pause_or_resume_reading(paused=True)
         if self._receiving_exchange is not None:
@@ -334,16 +359,13 @@
         if self._is_beginning:
             return
         self._is_beginning = True
-        while self._may_begin():
+        while self._exchanges and not (self._closing or self._response_paused):
+            if self._exchanges[0] is self._begun_exchange:
+                break
             self._begun_exchange = self._exchanges[0]
             self._port.begin(self._begun_exchange)
         self._is_beginning = False
 
-    def _may_begin(self) -> bool:
-        if not self._exchanges or self._closing or self._response_paused:
-            return False
-        return self._exchanges[0] is not self._begun_exchange
-
     def _close_after_response(self) -> None:
         if self._receiving_exchange is None:
             self._close()
@@ -353,20 +375,52 @@
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
 
-    def _update_slot(self) -> None:
-        state = self._current_slot_state()
-        if state is not self._slot_state:
-            self._slot_state = state
-            self._port.mark(self, state)
+    def _parse(self, received: bytes) -> RefusalReason | None:
+        """Return why nothing more is read after these bytes, if so."""
+        self._read_bytes = len(received)
+        self._has_completed_message = False
+        self._unproductive_bytes += len(received)
+        parse_result = self._parser.feed(received)
+        if parse_result.is_err():
+            return _codec_refusal(parse_result.unwrap_err())
+        if self._unproductive_bytes > self._port.settings.max_header_bytes:
+            return RefusalReason.HEADERS_TOO_LARGE
+        is_in_head = self._head_started_s is not None
+        is_receiving = is_in_head or self._receiving_exchange is not None
+        is_over_budget = not self._may_use_memory()
+        if self._is_over_limit or (is_receiving and is_over_budget):
+            return RefusalReason.CALLER_LIMIT
+        return None
+
+    def _may_use_memory(self) -> bool:
+        self._record_memory()
+        return self._port.memory.allows(self._memory_bytes)
+
+    def _record_memory(self) -> None:
+        if not self.transport.connected:
+            return
+        memory_bytes = (
+            self._unproductive_bytes
+            + self._head_memory_bytes
+            + self._unread_response_bytes
+            + sum(exchange.memory_bytes for exchange in self._exchanges)
+        )
+        self._port.memory.change(memory_bytes - self._memory_bytes)
+        self._memory_bytes = memory_bytes
 
-    def _current_slot_state(self) -> _SlotState:
-        if self._closing:
-            return _SlotState.IDLE
-        if self._exchanges:
-            is_complete = self._exchanges[0].body_ended
-            return _SlotState.BUSY if is_complete else _SlotState.INCOMPLETE
+    def _update_slot(self) -> None:
         is_new = self._head_started_s is not None or not self._has_had_request
-        return _SlotState.INCOMPLETE if is_new else _SlotState.IDLE
+        if self._exchanges and not self._closing:
+            is_complete = self._exchanges[0].body_ended
+            state = _SlotState.BUSY if is_complete else _SlotState.INCOMPLETE
+        elif is_new and not self._closing:
+            state = _SlotState.INCOMPLETE
+        else:
+            state = _SlotState.IDLE
+        if state is self._slot_state:
+            return
+        self._slot_state = state
+        self._port.mark(self, state)
 
     def _begin_closing(self) -> None:
         self._closing = True
@@ -399,6 +453,9 @@
         self._slots = ConnectionSlots[CallerConnection](
             settings.max_caller_connections
         )
+        self.memory = SharedMemoryBudget(
+            settings.max_caller_memory_bytes, settings.max_caller_connections
+        )
         self._record_refusal = record_refusal
 
     def buildProtocol(self, addr: IAddress) -> CallerConnection:
--- a/packages/turmericpost-entry/src/turmericpost/http1/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/settings.py
@@ -48,3 +48,9 @@
         default=600,
         bounds=Bounds(1, 1048576),
     )
+    max_caller_memory_bytes: int = setting(
+        'memory for heads, bodies and unread responses of all callers; beyond '
+        'it, connections above their equal part are refused',
+        default=33554432,
+        bounds=Bounds(1048576, 1099511627776),
+    )
