Refuse targets that are no address, and abort after an exception

What callers saw: no response and an open connection for good, 50 of 50. Cause: splitting an absolute URI such as http://[ raises an exception; it left the parser as a malformed request, and the exchange, which had not begun, could neither be refused nor time out. The endpoints split //[ in the same way. Change: an absolute URI that can't be split is malformed (400); a path is not split as an address; an exception in the handler of a request is logged and its connection aborted. Measured: test_invalid_targets: 50 connections left open in three of four cases before, none after. Entry tests of http1, forward, fleet and platform pass. Conclusion: no target keeps a connection open.

--- a/packages/turmericpost-entry/src/turmericpost/http1/server.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/server.py
@@ -18,6 +18,7 @@
 from turmericpost.http1.readability import is_readable
 from turmericpost.http1.settings import CallerSettings
 from turmericpost.http1.strict import asks_for_upgrade, is_malformed
+from turmericpost.observe.events import log_failure
 from turmericpost_core.clock import Clock
 from turmericpost_core.limits.connection_slots import ConnectionSlots
 from turmericpost_core.limits.shared_memory_budget import SharedMemoryBudget
@@ -363,7 +364,8 @@
             if self._exchanges[0] is self._begun_exchange:
                 break
             self._begun_exchange = self._exchanges[0]
-            self._port.begin(self._begun_exchange)
+            if not self._port.begin(self._begun_exchange):
+                self.abort()
         self._is_beginning = False
 
     def _close_after_response(self) -> None:
@@ -445,7 +447,6 @@
         clock: Clock,
         record_refusal: Callable[[RefusalReason], None],
     ) -> None:
-        self.begin = begin
         self.settings = settings
         self.clock = clock
         self.is_draining = False
@@ -456,12 +457,22 @@
         self.memory = SharedMemoryBudget(
             settings.max_caller_memory_bytes, settings.max_caller_connections
         )
+        self._handler = begin
         self._record_refusal = record_refusal
 
     def buildProtocol(self, addr: IAddress) -> CallerConnection:
         """Return the protocol of a new connection."""
         return CallerConnection(self)
 
+    def begin(self, exchange: Exchange) -> bool:
+        """Handle an exchange; return false after an exception."""
+        try:
+            self._handler(exchange)
+        except Exception:
+            log_failure(Failure())
+            return False
+        return True
+
     def add(self, connection: CallerConnection) -> None:
         """Add a new connection; close another one if there are too many."""
         self.connections.add(connection)
--- a/packages/turmericpost-entry/src/turmericpost/http1/strict.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/strict.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from urllib.parse import urlsplit
 
 from turmericpost.http1.heads import (
     CONTENT_LENGTH,
@@ -46,6 +47,13 @@
         return False
     if target == b'*':
         return head.method == 'OPTIONS'
-    return target.startswith(b'/') or target.lower().startswith(
-        _ABSOLUTE_SCHEMES
-    )
+    return target.startswith(b'/') or _is_absolute_uri(target)
+
+
+def _is_absolute_uri(target: bytes) -> bool:
+    if not target.lower().startswith(_ABSOLUTE_SCHEMES):
+        return False
+    try:
+        return bool(urlsplit(target).netloc)
+    except ValueError:
+        return False
--- a/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/call_headers.py
@@ -4,7 +4,7 @@
 
 import json
 import math
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import SplitResult, parse_qs, urlsplit
 
 from turmericpost.gateway.call_codec import (
     AddressQuery,
@@ -54,15 +54,12 @@
 
     def read_call(self, head: RequestHead) -> CallHead:
         """Decode the request head of a call."""
-        host = _decode_text(head.first(HOST)).lower()
-        path = _decode_text(head.target).partition('?')[0]
-        if not path.startswith('/'):
-            absolute_url = urlsplit(path)
-            host, path = absolute_url.netloc.lower(), absolute_url.path or '/'
+        url = _split_target(head.target)
+        host = url.netloc or _decode_text(head.first(HOST))
         left_ms = _parse_number(head.first(_DEADLINE))
         return CallHead(
-            host=host.partition(':')[0],
-            path=path,
+            host=host.lower().partition(':')[0],
+            path=url.path or '/',
             call_id=_decode_text(head.first(_CALL_ID)),
             time_left_s=None
             if left_ms is None
@@ -129,7 +126,7 @@
         head: RequestHead,
     ) -> AddressQuery | None:
         """Decode an address query; return ``None`` for other requests."""
-        target = urlsplit(_decode_text(head.target))
+        target = _split_target(head.target)
         if target.path != _RESOLVE_PATH:
             return None
         query = parse_qs(target.query)
@@ -157,6 +154,18 @@
         return _decode_text(head.target).partition('?')[0] == METRICS_PATH
 
 
+def _split_target(target: bytes) -> SplitResult:
+    """Split a request target; all parts are empty if it is not valid."""
+    text = _decode_text(target)
+    if text.startswith('/'):
+        path, _, query = text.partition('?')
+        return SplitResult('', '', path, query, '')
+    try:
+        return urlsplit(text)
+    except ValueError:
+        return SplitResult('', '', '', '', '')
+
+
 def _decode_load_report(head: ResponseHead) -> ReportedLoad | None:
     """Decode the load report in a response: running, waiting, slots, slowness.
 
