Bound the encoded updates that are kept for other VMs

What happened: a peer that asked for updates since many different versions made a VM keep an encoded update for each, up to the size of the configuration. Cause: the cache had the asked version as its key and was only emptied when the state changed. Change: at most 16 updates are kept. Measured: test_requests_with_many_versions 131 MB before (bound 96), holds now; fleet tests: 56 passed. Conclusion: the port between VMs keeps a bounded number of updates.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -59,6 +59,10 @@
 More than one, because one may be waiting for an unreachable VM.
 """
 
+MAX_CACHED_UPDATES = 16
+"""Maximum number of encoded updates that are kept: other VMs usually have one
+of the last few versions."""
+
 MAX_REQUEST_BYTES = 256
 """Maximum size of a request; a usual one has 20 bytes."""
 
@@ -103,7 +107,7 @@
     def encoded_update(self, known: KnownVersions) -> bytes:
         """Return the encoded update since the known versions.
 
-        The result is cached until the state changes.
+        Up to ``MAX_CACHED_UPDATES`` are cached until the state changes.
         """
         basis = (self._state.versions, self._state.directory.is_settled)
         if self._encoded_basis != basis:
@@ -112,6 +116,8 @@
         wire = self._encoded_updates.get(known)
         if wire is None:
             wire = encode_update(self._state.update_since(known))
+            if len(self._encoded_updates) >= MAX_CACHED_UPDATES:
+                self._encoded_updates.clear()
             self._encoded_updates[known] = wire
         return wire
 
