Take a status outside 100 to 599 for a malformed response

What callers saw: a status such as 600 or 999 of a server in trouble as the response to a request; 000 to 099 were taken for interim responses, so that the call waited until its deadline (504) although another server could serve it. Cause: the codec accepts any three digits, and every status under 200 counted as interim. Change: a connection fails a response with such a status as malformed: the attempt is lost, a call that may be repeated is retried, others get 502, and the connection is aborted. Conclusion: only HTTP statuses are passed on.

--- a/packages/turmericpost-entry/src/turmericpost/http1/client.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/client.py
@@ -21,7 +21,9 @@
 deployments have less than 1 kB.
 """
 
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -169,9 +171,16 @@
             self._headers.append((name.lower(), text))
 
     def on_headers_complete(self) -> None:
-        """Pass the head to the receiver; skip 1xx and stale responses."""
+        """Pass the head to the receiver; skip 1xx and stale responses.
+
+        A status that RFC 9110 does not define (15) makes a response malformed.
+        """
         self._in_head = False
         status = self._parser.status
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            self._skip_message = True
+            self._fail(AttemptEnd.MALFORMED)
+            return
         self._skip_message = status < _FIRST_FINAL_STATUS
         if self._skip_message or self._response_ended or self._receiver is None:
             return
