Shorten what callers choose in log lines

What operators saw: a request id of 8,000 characters is a log line of that size; sixteen a flush fill the buffer, and lines about other calls are dropped. Cause: request id and host were logged as they came. Change: 128 characters of each are logged. Conclusion: a caller's texts take a bounded part of the log.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -39,6 +39,9 @@
 """Maximum number of log lines about calls per second and VM: enough for all
 failures on the heaviest days of the first deployments, at 0.5 kB a line."""
 
+MAX_LOGGED_CHARACTERS = 128
+"""Number of characters of a request id or host in a log line."""
+
 _FIRST_FAILURE_STATUS = 500
 
 
@@ -237,8 +240,8 @@
         config = self._state.config
         self._log(
             LogEvent.CALL_FAILED,
-            call=head.call_id,
-            host=head.host,
+            call=head.call_id[:MAX_LOGGED_CHARACTERS],
+            host=head.host[:MAX_LOGGED_CHARACTERS],
             status=refusal.status,
             reason=refusal.reason.value,
             config=None if config is None else config.version,
@@ -255,7 +258,7 @@
         """Return the log fields of a call: route, versions, age and steps."""
         config = self._state.config
         return {
-            'call': call.call_id,
+            'call': call.call_id[:MAX_LOGGED_CHARACTERS],
             'route': call.context.route.name,
             'service': call.context.service,
             'ms': call.trail.age_ms(),
