Bound the hosts whose malformed datagrams are remembered

What happens: each host that sends a malformed datagram is remembered for good, and source addresses are chosen by the sender. Cause: a set without a limit. Change: 1,024 hosts are remembered and logged, further ones are not. Measured: 2,048 hosts: 2,048 lines and entries before, 1,024 after. Conclusion: datagrams of unknown hosts cost a bounded memory.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
@@ -46,6 +46,9 @@
 """
 
 
+MAX_MALFORMED_HOSTS = 1024
+"""Maximum number of hosts whose malformed datagrams are logged."""
+
 HeldPermits: TypeAlias = Mapping[str, Mapping[str, str]]
 """Backend server ids of held permits, by VM to report to and by permit id."""
 
@@ -183,7 +186,8 @@
     ) -> None:
         """Decode and handle a datagram.
 
-        Only the first malformed datagram of each host is logged.
+        Only the first malformed datagram of each host is logged, up to
+        ``MAX_MALFORMED_HOSTS`` of them.
         """
         decoded = decode_message(datagram)
         if decoded.is_err():
@@ -298,7 +302,8 @@
         )[:2]
 
     def _log_malformed(self, host: str, detail: str) -> None:
-        if host not in self._malformed_hosts:
+        is_known = host in self._malformed_hosts
+        if not is_known and len(self._malformed_hosts) < MAX_MALFORMED_HOSTS:
             self._malformed_hosts.add(host)
             log_event(
                 LogEvent.PEER_MESSAGE_MALFORMED,
--- a/packages/turmericpost-entry/tests/gateway/test_log_sizes.py
+++ b/packages/turmericpost-entry/tests/gateway/test_log_sizes.py
@@ -12,6 +12,7 @@
 
 _MAX_LINE_CHARACTERS = 1000
 _LONG = b'x' * 8000
+_MAX_MALFORMED_HOSTS = 1024
 
 
 class LogSizeTest(unittest.TestCase):
@@ -34,6 +35,18 @@
         for record in handler.records:
             self.assertLess(len(record.message), _MAX_LINE_CHARACTERS)
 
+    # Guards against a set of hosts that grows with every address that sends.
+    def test_malformed_datagrams_of_many_hosts_are_logged_a_few_times(
+        self,
+    ) -> None:
+        with TestHandler() as handler:
+            for number in range(2 * _MAX_MALFORMED_HOSTS):
+                high, low = divmod(number, 250)
+                self.node.peers.datagramReceived(
+                    b'\xff', (f'10.2.{high}.{low}', 7540)
+                )
+        self.assertEqual(len(handler.records), _MAX_MALFORMED_HOSTS)
+
 
 if __name__ == '__main__':
     unittest.main()
