--- a/packages/turmericpost-entry/tests/gateway/fleet_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/fleet_harness.py
@@ -95,6 +95,27 @@
         self.register(backend_id)
         return backend_server
 
+    def add_server(
+        self, backend_id: str, service: str, factory: Any, slots: int = 3
+    ) -> None:
+        """Listen with a protocol factory and register it as a server."""
+        listening = self.reactor.listenTCP(0, factory, interface='127.0.0.1')
+        port = listening.getHost().port
+        entry = {
+            'Service': service,
+            'Address': f'127.0.0.1:{port}',
+            'Zone': 'nasr',
+            'Version': 'v1',
+            'Slots': slots,
+            'State': 'ready',
+            'WarmupLeftMs': 0,
+            'Seq': 1,
+            'born': 1,
+        }
+        self.store.put_keyed(
+            'keyed.servers', backend_id, json.dumps(entry).encode()
+        )
+
     def register(self, backend_id: str) -> None:
         entry = self.backends[backend_id].encode_registration(
             self.addresses[backend_id]
--- a/packages/turmericpost-entry/tests/gateway/test_invalid_status.py
+++ b/packages/turmericpost-entry/tests/gateway/test_invalid_status.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import json
 import unittest
-from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol
 
@@ -109,10 +107,7 @@
     def test_caller_gets_no_such_status(self) -> None:
         fleet = Fleet(vms=1)
         servers = OddServerFactory()
-        port = fleet.reactor.listenTCP(0, servers, interface='127.0.0.1')
-        fleet.store.put_keyed(
-            'keyed.servers', 'i-odd', _registration(port.getHost().port)
-        )
+        fleet.add_server('i-odd', 'press', servers)
         fleet.configure(1, route('/a/', RouteType='non_idempotent'))
         statuses = fleet.run(lambda: self._call(fleet, servers), _TIMEOUT_S)
         self.assertGreaterEqual(servers.run_count, len(_STATUSES))
@@ -129,20 +124,5 @@
         return statuses
 
 
-def _registration(port: int) -> bytes:
-    entry: dict[str, Any] = {
-        'Service': 'press',
-        'Address': f'127.0.0.1:{port}',
-        'Zone': 'nasr',
-        'Version': 'v1',
-        'Slots': 3,
-        'State': 'ready',
-        'WarmupLeftMs': 0,
-        'Seq': 1,
-        'born': 1,
-    }
-    return json.dumps(entry).encode()
-
-
 if __name__ == '__main__':
     unittest.main()
--- a/packages/turmericpost-entry/tests/hostile/hostile_case.py
+++ b/packages/turmericpost-entry/tests/hostile/hostile_case.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 import resource
 import unittest
@@ -165,22 +164,7 @@
     """Register a server that accepts requests and never responds."""
     factory = Factory.forProtocol(Protocol)
     factory.noisy = False
-    listening = fleet.reactor.listenTCP(0, factory, interface='127.0.0.1')
-    port = listening.getHost().port
-    entry = {
-        'Service': 'silent',
-        'Address': f'127.0.0.1:{port}',
-        'Zone': 'nasr',
-        'Version': 'v1',
-        'Slots': DESCRIPTORS,
-        'State': 'ready',
-        'WarmupLeftMs': 0,
-        'Seq': 1,
-        'born': 1,
-    }
-    fleet.store.put_keyed(
-        'keyed.servers', 'i-silent', json.dumps(entry).encode()
-    )
+    fleet.add_server('i-silent', 'silent', factory, DESCRIPTORS)
 
 
 async def _call(fleet: Fleet, vm: VmProcess) -> int:
--- a/packages/turmericpost-entry/tests/soak/test_endless_responses.py
+++ b/packages/turmericpost-entry/tests/soak/test_endless_responses.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -112,22 +111,7 @@
     def _register_servers(self, fleet: Fleet) -> None:
         for kind, (first, repeated) in _KINDS.items():
             factory = _EndlessFactory(first, repeated)
-            port = fleet.reactor.listenTCP(0, factory, interface='127.0.0.1')
-            port_number = port.getHost().port
-            entry = {
-                'Service': kind,
-                'Address': f'127.0.0.1:{port_number}',
-                'Zone': 'nasr',
-                'Version': 'v1',
-                'Slots': _CALLERS,
-                'State': 'ready',
-                'WarmupLeftMs': 0,
-                'Seq': 1,
-                'born': 1,
-            }
-            fleet.store.put_keyed(
-                'keyed.servers', f'i-{kind}', json.dumps(entry).encode()
-            )
+            fleet.add_server(f'i-{kind}', kind, factory, _CALLERS)
 
     async def _call_all(self, fleet: Fleet, vm: VmProcess) -> list[int]:
         """Return the statuses of calls to the sound server."""
