Limit the streams that serve accepts from other VMs

What happens: anybody who opens connections to the port for VMs and sends nothing takes the descriptors of turmericpost serve. Cause: accepted streams had neither a limit nor an end without a greeting. Change: 128 streams (max-peer-streams); beyond them the oldest one without a greeting is closed. Conclusion: streams that have greeted keep their place.

--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -29,7 +29,7 @@
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.observe.metrics import Metrics
 from turmericpost.peer.service import PeerCallbacks, new_peer_service
-from turmericpost.peer.stream import PeerServerFactory
+from turmericpost.peer.stream import new_peer_server
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.settings_groups import Settings
 from turmericpost_core.config.apply_records import Configuration
@@ -223,7 +223,7 @@
         )
         port = self._reactor.listenTCP(
             peers.peer_port,
-            PeerServerFactory(self.peers),
+            new_peer_server(self.peers, peers),
             interface=peers.peer_host,
         )
         self._register_port('peer', port)
--- a/packages/turmericpost-entry/src/turmericpost/peer/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/settings.py
@@ -32,3 +32,9 @@
         default=1.2,
         bounds=Bounds(0.1, 60),
     )
+    max_peer_streams: int = setting(
+        'most streams accepted from other entry VMs; beyond them, the oldest '
+        'one without a greeting is closed',
+        default=128,
+        bounds=Bounds(1, 65536),
+    )
--- a/packages/turmericpost-entry/src/turmericpost/peer/stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/stream.py
@@ -22,6 +22,8 @@
     encode_message,
     new_unpacker,
 )
+from turmericpost.peer.settings import PeerSettings
+from turmericpost_core.limits.connection_slots import ConnectionSlots
 from turmericpost_core.membership.vm_records import VmIdentity
 
 
@@ -51,17 +53,30 @@
         """Handle a failed attempt to connect to a VM."""
 
 
+class AcceptedStreams:
+    """Limits of the streams that other VMs opened."""
+
+    def __init__(self, max_streams: int) -> None:
+        self.slots = ConnectionSlots[PeerStream](max_streams)
+
+
 class PeerStream(Protocol):
     """Protocol that exchanges typed messages with another entry VM.
 
     ``target_name`` is the name of the VM that this side connected to, or
-    ``None`` if the other side connected.
+    ``None`` if the other side connected; ``accepted`` limits such streams.
     """
 
-    def __init__(self, host: StreamHost, target_name: str | None) -> None:
+    def __init__(
+        self,
+        host: StreamHost,
+        target_name: str | None,
+        accepted: AcceptedStreams | None = None,
+    ) -> None:
         self.target_name = target_name
         self.remote: VmIdentity | None = None
         self._host = host
+        self._accepted = accepted
         self._unpacker: Any = new_unpacker()
 
     @property
@@ -82,6 +97,10 @@
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm and report the new stream."""
         self.transport.setTcpNoDelay(True)
+        if self._accepted is not None:
+            closed_stream = self._accepted.slots.add(self)
+            if closed_stream is not None:
+                closed_stream.transport.abortConnection()
         self._host.stream_opened(self)
 
     def connectionLost(
@@ -89,6 +108,8 @@
         reason: Failure = connectionDone,
     ) -> None:
         """Report the end of the stream."""
+        if self._accepted is not None:
+            self._accepted.slots.remove(self)
         self._host.stream_closed(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: WPS110
@@ -111,6 +132,8 @@
     def _deliver(self, message: PeerMessage) -> None:
         if isinstance(message, Greeting):
             self.remote = message.records[0].identity
+            if self._accepted is not None:
+                self._accepted.slots.mark_busy(self)
         if self.remote is None:
             self._reject('no greeting')
         else:
@@ -130,12 +153,13 @@
 
     noisy = False
 
-    def __init__(self, host: StreamHost) -> None:
+    def __init__(self, host: StreamHost, accepted: AcceptedStreams) -> None:
         self._host = host
+        self._accepted = accepted
 
     def buildProtocol(self, addr: IAddress) -> PeerStream:
         """Return the protocol of an accepted stream."""
-        return PeerStream(self._host, None)
+        return PeerStream(self._host, None, self._accepted)
 
 
 class PeerClientFactory(ClientFactory):
@@ -158,3 +182,11 @@
     ) -> None:
         """Report the failed attempt to connect."""
         self._host.connect_failed(self._name)
+
+
+def new_peer_server(
+    host: StreamHost, settings: PeerSettings
+) -> PeerServerFactory:
+    """Return the protocol factory of the port for other VMs."""
+    accepted = AcceptedStreams(settings.max_peer_streams)
+    return PeerServerFactory(host, accepted)
