Limit the memory of incomplete messages between VMs

What happens: messages without end on several streams of turmericpost serve fill its memory; each stream may hold 16 MB. Cause: the limit was for one stream. Change: incomplete messages of all accepted streams have one budget of 64 MB (max-peer-memory-bytes) with an equal part for each; a stream above its part is aborted while the sum is above the budget. Conclusion: the sum over all streams is bounded.

--- a/packages/turmericpost-entry/src/turmericpost/peer/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/settings.py
@@ -38,3 +38,8 @@
         default=128,
         bounds=Bounds(1, 65536),
     )
+    max_peer_memory_bytes: int = setting(
+        'memory for incomplete messages of all streams that were accepted',
+        default=67108864,
+        bounds=Bounds(1048576, 1099511627776),
+    )
--- a/packages/turmericpost-entry/src/turmericpost/peer/stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/stream.py
@@ -24,6 +24,7 @@
 )
 from turmericpost.peer.settings import PeerSettings
 from turmericpost_core.limits.connection_slots import ConnectionSlots
+from turmericpost_core.limits.shared_memory_budget import SharedMemoryBudget
 from turmericpost_core.membership.vm_records import VmIdentity
 
 
@@ -56,8 +57,9 @@
 class AcceptedStreams:
     """Limits of the streams that other VMs opened."""
 
-    def __init__(self, max_streams: int) -> None:
+    def __init__(self, max_streams: int, max_memory_bytes: int) -> None:
         self.slots = ConnectionSlots[PeerStream](max_streams)
+        self.memory = SharedMemoryBudget(max_memory_bytes, max_streams)
 
 
 class PeerStream(Protocol):
@@ -77,6 +79,7 @@
         self.remote: VmIdentity | None = None
         self._host = host
         self._accepted = accepted
+        self._incomplete_bytes = 0
         self._unpacker: Any = new_unpacker()
 
     @property
@@ -108,6 +111,7 @@
         reason: Failure = connectionDone,
     ) -> None:
         """Report the end of the stream."""
+        self._record_incomplete(0)
         if self._accepted is not None:
             self._accepted.slots.remove(self)
         self._host.stream_closed(self)
@@ -122,12 +126,23 @@
 
     def _unpack(self, received: bytes) -> None:
         self._unpacker.feed(received)
+        self._record_incomplete(self._incomplete_bytes + len(received))
         for unpacked in self._unpacker:
+            self._record_incomplete(0)
             decoded = decode_message(unpacked)
             if decoded.is_err():
                 self._reject(decoded.unwrap_err().detail)
                 return
             self._deliver(decoded.unwrap())
+        accepted = self._accepted
+        if accepted and not accepted.memory.allows(self._incomplete_bytes):
+            self._reject('incomplete messages take too much memory')
+
+    def _record_incomplete(self, incomplete_bytes: int) -> None:
+        if self._accepted is not None:
+            change_bytes = incomplete_bytes - self._incomplete_bytes
+            self._accepted.memory.change(change_bytes)
+        self._incomplete_bytes = incomplete_bytes
 
     def _deliver(self, message: PeerMessage) -> None:
         if isinstance(message, Greeting):
@@ -188,5 +203,7 @@
     host: StreamHost, settings: PeerSettings
 ) -> PeerServerFactory:
     """Return the protocol factory of the port for other VMs."""
-    accepted = AcceptedStreams(settings.max_peer_streams)
+    accepted = AcceptedStreams(
+        settings.max_peer_streams, settings.max_peer_memory_bytes
+    )
     return PeerServerFactory(host, accepted)
