Limit the connections to the admin port

What happens: idle connections to the admin port take the descriptors of turmericpost serve. Cause: the port had no limit of connections. Change: 64 connections (max-admin-connections); beyond them the oldest is closed. Conclusion: operators get a connection whoever else has some.

--- a/packages/turmericpost-entry/src/turmericpost/admin/settings.py
+++ b/packages/turmericpost-entry/src/turmericpost/admin/settings.py
@@ -20,3 +20,8 @@
         default=8081,
         bounds=Bounds(0, 65535),
     )
+    max_admin_connections: int = setting(
+        'most connections of operators; beyond them, the oldest one is closed',
+        default=64,
+        bounds=Bounds(1, 65536),
+    )
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -7,9 +7,8 @@
 from typing import Any
 
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.web.server import Site
 
-from turmericpost.admin.resources import admin_root
+from turmericpost.admin.limits import new_admin_site
 from turmericpost.admin.views import AdminState
 from turmericpost.background import start_periodic
 from turmericpost.configlog.clients import new_platform_clients
@@ -196,11 +195,9 @@
             location=self._location(),
             publisher=self._platform.publisher,
         )
-        site = Site(admin_root(state))
-        site.noisy = False
         port = self._reactor.listenTCP(
             admin.admin_port,
-            site,
+            new_admin_site(state, admin),
             interface=admin.admin_host,
         )
         self._register_port('admin', port)
