--- a/packages/turmericpost-entry/tests/hostile/hostile_case.py
+++ b/packages/turmericpost-entry/tests/hostile/hostile_case.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import unittest
+from collections.abc import Awaitable, Callable
 from hashlib import sha256
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -66,19 +67,29 @@
         self._peak_unread_mb = float(0)
         self._open_count = 0
         self._complete_count = 0
+        self._crowd: Crowd | None = None
 
     def attack(self, port: str, attack: Attack) -> None:
-        """Attack a port; check the process, its bounds and a usual request.
-
-        The request is sent while the crowd's open connections remain.
-        """
+        """Attack a port with a crowd, whose open connections remain."""
         self.setUp()
+        self.check_during(
+            lambda fleet, vm: self._run_crowd(fleet, vm, port, attack)
+        )
+        if attack.must_be_closed:
+            self.assertEqual(self._open_count, 0, 'connections left open')
+        if attack.must_be_cut:
+            self.assertEqual(self._complete_count, 0, 'all was received')
+
+    def check_during(
+        self, actions: Callable[[Fleet, VmProcess], Awaitable[None]]
+    ) -> None:
+        """Run actions; check the process, its bounds and a usual request."""
         fleet = _new_fleet(self.extra_routes)
         with TemporaryDirectory() as folder:
             vm = _new_vm(fleet, Path(folder))
             try:
                 fleet.run(
-                    lambda: self._play(fleet, vm, port, attack), _RUN_TIMEOUT_S
+                    lambda: self._play(fleet, vm, actions), _RUN_TIMEOUT_S
                 )
                 has_ended = vm.has_ended
                 memory_mb = 0 if has_ended else vm.peak_memory_mb
@@ -90,13 +101,12 @@
         self.assertLessEqual(
             self._peak_descriptors, DESCRIPTORS - FILE_DESCRIPTORS
         )
-        if attack.must_be_closed:
-            self.assertEqual(self._open_count, 0, 'connections left open')
-        if attack.must_be_cut:
-            self.assertEqual(self._complete_count, 0, 'all was received')
 
     async def _play(
-        self, fleet: Fleet, vm: VmProcess, port: str, attack: Attack
+        self,
+        fleet: Fleet,
+        vm: VmProcess,
+        actions: Callable[[Fleet, VmProcess], Awaitable[None]],
     ) -> None:
         vm.start()
         resource.prlimit(
@@ -105,9 +115,18 @@
         await self._request_until_served(fleet, vm, _READY_TIMEOUT_S)
         self.assertEqual(self._ordinary_status, 200, 'before the attack')
         self._ordinary_status = 0
-        crowd = Crowd(
-            fleet.reactor, (vm.settings.host, _ALL_PORTS[port]), attack
-        )
+        await actions(fleet, vm)
+        await self._request_until_served(fleet, vm, _ORDINARY_TIMEOUT_S)
+        if self._crowd is not None:
+            self._complete_count = self._crowd.complete_count
+            self._crowd.leave()
+
+    async def _run_crowd(
+        self, fleet: Fleet, vm: VmProcess, port: str, attack: Attack
+    ) -> None:
+        address = (vm.settings.host, _ALL_PORTS[port])
+        crowd = Crowd(fleet.reactor, address, attack)
+        self._crowd = crowd
         crowd.begin()
         end_s = fleet.reactor.seconds() + _CROWD_TIMEOUT_S
         while not (crowd.has_ended or fleet.reactor.seconds() > end_s):
@@ -117,9 +136,6 @@
             await self._sample(fleet, vm)
         if not vm.has_ended:
             self._open_count = vm.connection_count(_ALL_PORTS[port])
-        await self._request_until_served(fleet, vm, _ORDINARY_TIMEOUT_S)
-        self._complete_count = crowd.complete_count
-        crowd.leave()
 
     async def _sample(self, fleet: Fleet, vm: VmProcess) -> None:
         await fleet.pause(_SAMPLE_S)
