--- a/packages/turmericpost-entry/tests/hostile/isolated_bodies.py
+++ b/packages/turmericpost-entry/tests/hostile/isolated_bodies.py
@@ -74,6 +74,16 @@
         head = _POST % b'a' + b'Content-Length: 500000\r\n\r\n'
         self.attack('Front', Attack(head + _PART * 5))
 
+    # Guards against bodies of ended requests that stay in memory.
+    def test_bodies_of_refused_and_served_requests(self) -> None:
+        for path in (b'a', b'wait'):
+            with self.subTest(path):
+                head = _POST.replace(b'8000', b'300') % path
+                framing = b'Connection: close\r\nContent-Length: 60000\r\n\r\n'
+                wire = b''.join((head, framing, _PART[:60_000]))
+                attack = Attack(wire, connections=50, rounds=40)
+                self.attack('Front', attack)
+
 
 if __name__ == '__main__':
     unittest.main()
