Allow as many connections as have receive buffers in memory

What could happen: on a VM with 200 MB and 8,192 descriptors, crowds within the limits of each port could hold 226 MB: budgets and receive buffers together. Cause: connections were limited by descriptors alone. Change: a port also has at most the connections whose receive buffers fit its share of the memory. Conclusion: all ports together stay below half of the memory.

--- a/packages/turmericpost-entry/src/turmericpost/gateway/ports.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ports.py
@@ -34,7 +34,10 @@
 
 @dataclass(frozen=True)
 class PortShare:
-    """Share of the VM's sockets and memory that a port may use."""
+    """Share of the VM's sockets and memory that a port may use.
+
+    Receive buffers may take the share of the memory once more.
+    """
 
     sockets: float
     memory: float
@@ -91,11 +94,15 @@
     They are used until there is a configuration.
     """
     host, port = address
+    memory_bytes = int(resources.memory_bytes * share.memory)
     settings = CallerSettings(
         caller_host=host,
         caller_port=port,
-        max_caller_connections=max_connections(resources, share.sockets),
-        max_caller_memory_bytes=int(resources.memory_bytes * share.memory),
+        max_caller_connections=min(
+            max_connections(resources, share.sockets),
+            memory_bytes // RECEIVE_BUFFER_BYTES,
+        ),
+        max_caller_memory_bytes=memory_bytes,
     )
     return CallerPort(begin, settings, clock, record_refusal)
 
