--- a/packages/turmericpost-core/src/turmericpost_core/limits/connection_slots.py
+++ b/packages/turmericpost-core/src/turmericpost_core/limits/connection_slots.py
@@ -3,11 +3,24 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import Enum
 from typing import Generic, TypeVar
 
 ConnectionT = TypeVar('ConnectionT')
 
 
+class ConnectionState(Enum):
+    """What a connection is doing.
+
+    ``INCOMPLETE`` means that no complete request has come yet, ``BUSY`` that
+    one is in progress, and ``IDLE`` that its response has been sent.
+    """
+
+    INCOMPLETE = 'incomplete'
+    BUSY = 'busy'
+    IDLE = 'idle'
+
+
 class ConnectionSlots(Generic[ConnectionT]):
     """A limited number of connections.
 
@@ -18,55 +31,46 @@
 
     def __init__(self, max_connections: int) -> None:
         self.max_connections = max_connections
-        self._busy: set[ConnectionT] = set()
+        self._states: dict[ConnectionT, ConnectionState] = {}
         self._idle: OrderedDict[ConnectionT, None] = OrderedDict()
         self._incomplete: OrderedDict[ConnectionT, None] = OrderedDict()
 
     def __len__(self) -> int:
         """Return the number of connections."""
-        return len(self._busy) + len(self._idle) + len(self._incomplete)
+        return len(self._states)
 
     def add(self, connection: ConnectionT) -> ConnectionT | None:
         """Add a new connection, and return the one to close, if any.
 
         It is the new one if the requests of all others are in progress.
         """
-        if len(self) < self.max_connections:
-            self._incomplete[connection] = None
-            return None
-        for candidates in (self._incomplete, self._idle):
-            if candidates:
-                oldest, _ = candidates.popitem(last=False)
-                self._incomplete[connection] = None
-                return oldest
-        return connection
-
-    def mark_incomplete(self, connection: ConnectionT) -> None:
-        """Record that a request has begun to arrive and is not complete."""
-        if self._take(connection):
-            self._incomplete[connection] = None
-
-    def mark_busy(self, connection: ConnectionT) -> None:
-        """Record that a complete request is in progress."""
-        if self._take(connection):
-            self._busy.add(connection)
+        closed_connection = None
+        if len(self._states) >= self.max_connections:
+            candidates = self._incomplete or self._idle
+            if not candidates:
+                return connection
+            closed_connection = next(iter(candidates))
+            self.remove(closed_connection)
+        self._put(connection, ConnectionState.INCOMPLETE)
+        return closed_connection
 
-    def mark_idle(self, connection: ConnectionT) -> None:
-        """Record that no request is in progress."""
-        if self._take(connection):
-            self._idle[connection] = None
+    def mark(self, connection: ConnectionT, state: ConnectionState) -> None:
+        """Record the state of a connection, unless it has no place any more."""
+        if self._states.get(connection) not in {None, state}:
+            self.remove(connection)
+            self._put(connection, state)
 
     def remove(self, connection: ConnectionT) -> None:
         """Remove a connection that has closed."""
-        self._take(connection)
-
-    def _take(self, connection: ConnectionT) -> bool:
-        """Remove a connection; return false if it has no place any more."""
-        if connection in self._busy:
-            self._busy.remove(connection)
-            return True
-        for connections in (self._idle, self._incomplete):
-            if connection in connections:
-                connections.pop(connection)
-                return True
-        return False
+        state = self._states.pop(connection, None)
+        if state is ConnectionState.IDLE:
+            self._idle.pop(connection)
+        elif state is ConnectionState.INCOMPLETE:
+            self._incomplete.pop(connection)
+
+    def _put(self, connection: ConnectionT, state: ConnectionState) -> None:
+        self._states[connection] = state
+        if state is ConnectionState.IDLE:
+            self._idle[connection] = None
+        elif state is ConnectionState.INCOMPLETE:
+            self._incomplete[connection] = None
--- a/packages/turmericpost-core/tests/limits/test_connection_slots.py
+++ b/packages/turmericpost-core/tests/limits/test_connection_slots.py
@@ -7,7 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmericpost_core.limits.connection_slots import ConnectionSlots
+from turmericpost_core.limits.connection_slots import (
+    ConnectionSlots,
+    ConnectionState,
+)
 
 _EVENTS = st.lists(
     st.tuples(
@@ -25,8 +28,8 @@
         slots = ConnectionSlots[str](3)
         for name in ('idle', 'old', 'new'):
             self.assertIsNone(slots.add(name))
-        slots.mark_busy('idle')
-        slots.mark_idle('idle')
+        slots.mark('idle', ConnectionState.BUSY)
+        slots.mark('idle', ConnectionState.IDLE)
         self.assertEqual(slots.add('first'), 'old')
         self.assertEqual(slots.add('second'), 'new')
 
@@ -35,17 +38,17 @@
         slots = ConnectionSlots[str](2)
         for name in ('a', 'b'):
             slots.add(name)
-        slots.mark_idle('b')
-        slots.mark_idle('a')
+        slots.mark('b', ConnectionState.IDLE)
+        slots.mark('a', ConnectionState.IDLE)
         self.assertEqual(slots.add('c'), 'b')
-        slots.mark_busy('c')
+        slots.mark('c', ConnectionState.BUSY)
         self.assertEqual(slots.add('d'), 'a')
 
     # Guards against a new connection that ends the request of another one.
     def test_requests_in_progress_keep_their_connection(self) -> None:
         slots = ConnectionSlots[str](1)
         slots.add('a')
-        slots.mark_busy('a')
+        slots.mark('a', ConnectionState.BUSY)
         self.assertEqual(slots.add('b'), 'b')
         self.assertEqual(len(slots), 1)
 
@@ -55,7 +58,7 @@
         slots = ConnectionSlots[str](1)
         slots.add('a')
         self.assertEqual(slots.add('b'), 'a')
-        slots.mark_busy('a')
+        slots.mark('a', ConnectionState.BUSY)
         slots.remove('a')
         self.assertEqual(len(slots), 1)
 
@@ -77,7 +80,7 @@
                 members.discard(number)
                 busy.discard(number)
             elif kind != 'add':
-                getattr(slots, f'mark_{kind}')(number)
+                slots.mark(number, ConnectionState(kind))
                 busy.discard(number)
                 if kind == 'busy' and number in members:
                     busy.add(number)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_stream.py
@@ -32,7 +32,10 @@
 from turmericpost.observe.events import log_failure
 from turmericpost_core.fleet.state import FleetState, FleetUpdate, KnownVersions
 from turmericpost_core.fleet.state_lag import BUSY
-from turmericpost_core.limits.connection_slots import ConnectionSlots
+from turmericpost_core.limits.connection_slots import (
+    ConnectionSlots,
+    ConnectionState,
+)
 from turmericpost_core.membership.domain_view import Vm
 
 STREAM_TIMEOUT_S = 1.0
@@ -215,7 +218,7 @@
             self.transport.abortConnection()
             return
         if fields is not None:
-            self._server.streams.mark_busy(self)
+            self._server.streams.mark(self, ConnectionState.BUSY)
             self._respond(fields)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/peer/stream.py
+++ b/packages/turmericpost-entry/src/turmericpost/peer/stream.py
@@ -23,7 +23,10 @@
     new_unpacker,
 )
 from turmericpost.peer.settings import PeerSettings
-from turmericpost_core.limits.connection_slots import ConnectionSlots
+from turmericpost_core.limits.connection_slots import (
+    ConnectionSlots,
+    ConnectionState,
+)
 from turmericpost_core.limits.shared_memory_budget import SharedMemoryBudget
 from turmericpost_core.membership.vm_records import VmIdentity
 
@@ -148,7 +151,7 @@
         if isinstance(message, Greeting):
             self.remote = message.records[0].identity
             if self._accepted is not None:
-                self._accepted.slots.mark_busy(self)
+                self._accepted.slots.mark(self, ConnectionState.BUSY)
         if self.remote is None:
             self._reject('no greeting')
         else:
