Log reads of the store that left out newer records

Change: reads carry the end offset of the store; read-incomplete (5008) says how far a read got, how far the store was and how long it took. A read without records never skips records that the store has.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -28,21 +28,28 @@
     """Registry records from one read, and the offset of the next read.
 
     ``records`` contains a removal for each invalid record: the servers that it
-    or an earlier record of its key names are not to be used.
+    or an earlier record of its key names are not to be used. ``end_offset`` is
+    larger than ``next_offset`` if the read left out newer records.
     """
 
     records: tuple[Registration, ...]
     invalid: tuple[InvalidRecord, ...]
     next_offset: int
+    end_offset: int
 
 
 @dataclass(frozen=True)
 class OperatorRecords:
-    """Operator records from one read, and the offset of the next read."""
+    """Operator records from one read, and the offset of the next read.
+
+    ``end_offset`` is larger than ``next_offset`` if the read left out newer
+    records.
+    """
 
     records: tuple[OperatorChange, ...]
     invalid: tuple[InvalidRecord, ...]
     next_offset: int
+    end_offset: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -147,6 +147,9 @@
             # An update led back to records that this read left out.
             return
         self.last_read_s = begun_s
+        self._log_if_incomplete(
+            StatePart.REGISTRY, read_result.unwrap(), begun_s
+        )
         self._apply_backends(read_result.unwrap(), is_listing=is_listing)
 
     def _apply_backends(
@@ -189,6 +192,9 @@
         if read_result.is_err():
             return self._operator_read_failed(read_result.unwrap_err())
         self._operator_failures = 0
+        self._log_if_incomplete(
+            StatePart.OPERATOR, read_result.unwrap(), begun_s
+        )
         self._callbacks.was_read(StatePart.OPERATOR, begun_s)
         self._apply_operator(read_result.unwrap(), is_listing=is_listing)
         return 0
@@ -266,6 +272,22 @@
         )
         self._store.stop_watching()
 
+    def _log_if_incomplete(
+        self,
+        part: StatePart,
+        read_result: Registrations | OperatorRecords,
+        begun_s: float,
+    ) -> None:
+        """Log a read that left out newer records, with its duration."""
+        if read_result.next_offset < read_result.end_offset:
+            log_event(
+                LogEvent.READ_INCOMPLETE,
+                part=part.value,
+                next_offset=read_result.next_offset,
+                end_offset=read_result.end_offset,
+                read_s=round(self._clock.monotonic_s() - begun_s, 3),
+            )
+
     def _log_invalid(self, invalid: tuple[InvalidRecord, ...]) -> None:
         """Count invalid records, and log the first one of each key.
 
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -114,6 +114,11 @@
         Level.WARNING,
         'the store did not return the VMs that announced themselves',
     )
+    READ_INCOMPLETE = (
+        5008,
+        Level.INFO,
+        'a read of the store left out newer records',
+    )
     KNOWLEDGE_CHANGED = (
         5101,
         Level.INFO,
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -124,7 +124,9 @@
         decoded = response_body.and_then(
             lambda body: decode_read(from_offset, body)
         )
-        return decoded.map(decode_keyed_read).map(_registrations)
+        return decoded.map(
+            lambda batch: _registrations(decode_keyed_read(from_offset, batch))
+        )
 
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
         """Return the current configuration and evacuations."""
@@ -150,7 +152,11 @@
         decoded = response_body.and_then(
             lambda body: decode_read(from_offset, body)
         )
-        return decoded.map(decode_keyed_read).map(_operator_records)
+        return decoded.map(
+            lambda batch: _operator_records(
+                decode_keyed_read(from_offset, batch)
+            )
+        )
 
     def stop_watching(self) -> None:
         """Abort the current ``watch_operator`` call, which returns an error."""
@@ -229,7 +235,7 @@
             records.extend(listing.records)
             end = listing.end if end is None else end
             if not (listing.has_more and listing.records):
-                return Ok(KeyedRead(tuple(records), end))
+                return Ok(KeyedRead(tuple(records), end, end))
             after = listing.records[-1].key
 
     async def _list_page(
@@ -303,12 +309,16 @@
         Registration(record.offset, record.key, None) for record in invalid
     )
     records = sorted((*valid, *removals), key=attrgetter('offset'))
-    return Registrations(tuple(records), invalid, read.next_offset)
+    return Registrations(
+        tuple(records), invalid, read.next_offset, read.end_offset
+    )
 
 
 def _operator_records(read: KeyedRead) -> OperatorRecords:
     records, invalid = _decode_all(read, decode_operator_record)
-    return OperatorRecords(records, invalid, read.next_offset)
+    return OperatorRecords(
+        records, invalid, read.next_offset, read.end_offset
+    )
 
 
 def _vms(read: KeyedRead) -> tuple[Vm, ...]:
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -42,10 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedRead:
-    """Records of a read in offset order, and the offset to continue from."""
+    """Records of a read in offset order, and the offset to continue from.
+
+    ``end_offset`` is the one that the next record of the topic would get when
+    the store answered. It is larger if the read left records out.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    end_offset: int
 
 
 def encode_record(record: bytes) -> bytes:
@@ -89,15 +94,16 @@
     return Ok(LogBatch(tuple(records), end))
 
 
-def decode_keyed_read(batch: LogBatch) -> KeyedRead:
+def decode_keyed_read(from_offset: int, batch: LogBatch) -> KeyedRead:
     """Decode the records of a read as records of a keyed topic."""
     records = tuple(
         _decode_keyed(log_record.offset, log_record.record)
         for log_record in batch.records
     )
     if not records:
-        return KeyedRead(records, batch.end_offset)
-    return KeyedRead(records, records[-1].offset + 1)
+        next_offset = min(from_offset, batch.end_offset)
+        return KeyedRead(records, next_offset, batch.end_offset)
+    return KeyedRead(records, records[-1].offset + 1, batch.end_offset)
 
 
 def decode_append(body: bytes) -> Result[int, StoreError]:
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -68,7 +68,9 @@
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
         self.calls['list-operator'] += 1
         if self.can_list:
-            return Ok(OperatorRecords(tuple(self.records), (), self.end))
+            return Ok(
+                OperatorRecords(tuple(self.records), (), self.end, self.end)
+            )
         return self._read(0)
 
     async def watch_operator(
@@ -88,14 +90,14 @@
 
     async def list_backends(self) -> Result[Registrations, StoreError]:
         self.calls['list-backends'] += 1
-        return Ok(Registrations((), self.invalid, 1))
+        return Ok(Registrations((), self.invalid, 1, 1))
 
     async def read_backends(
         self,
         from_offset: int,
     ) -> Result[Registrations, StoreError]:
         self.calls['read-backends'] += 1
-        return Ok(Registrations((), (), from_offset))
+        return Ok(Registrations((), (), from_offset, from_offset))
 
     async def announce(self, vm: Vm) -> Result[None, StoreError]:
         return Ok(None)
@@ -107,7 +109,7 @@
         if self.error is not None:
             return Err(self.error)
         new_records = tuple(self.records[from_offset:])
-        return Ok(OperatorRecords(new_records, (), len(self.records)))
+        return Ok(OperatorRecords(new_records, (), self.end, self.end))
 
     def _wake_watcher(self) -> None:
         watch = self._watch
--- a/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
+++ b/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
@@ -108,7 +108,7 @@
             with self.subTest(key):
                 appended = bytes((len(key),)) + key + payload
                 batch = LogBatch((LogRecord(7, appended),), 8)
-                (keyed,) = decode_keyed_read(batch).records
+                (keyed,) = decode_keyed_read(0, batch).records
                 self.assertTrue(decode_registration(keyed).is_err())
 
     def test_keys_of_the_operator_that_are_no_text_are_invalid(self) -> None:
@@ -116,7 +116,7 @@
             key = b'evacuate/\xff'
             appended = bytes((len(key),)) + key + payload
             batch = LogBatch((LogRecord(7, appended),), 8)
-            (keyed,) = decode_keyed_read(batch).records
+            (keyed,) = decode_keyed_read(0, batch).records
             self.assertTrue(decode_operator_record(keyed).is_err())
 
     def test_configurations_that_no_peer_could_get_are_invalid(self) -> None:
