List the newest records when a read of the store is behind

Callers saw: requests run by the old service up to 8.2 s after a new version was confirmed (bound 3.0), with 25 versions of 222 KB over links of 5 Mbit/s. Cause: a reader that was behind read every version in order, 1 MB at a time. Change: reads are limited (64 KB or one record of the operator's topic, 256 KB of the registry); one that left out newer records is followed by a listing of the newest. It doesn't count as current: it confirms no removal and ends no lag. The registry had the same fault. Why it works: the time to the newest version is that of one record and one listing, whatever the number of versions between.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -37,6 +37,11 @@
     next_offset: int
     end_offset: int
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the read returned the newest records, too."""
+        return self.next_offset >= self.end_offset
+
 
 @dataclass(frozen=True)
 class OperatorRecords:
@@ -51,6 +56,11 @@
     next_offset: int
     end_offset: int
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the read returned the newest records, too."""
+        return self.next_offset >= self.end_offset
+
 
 @dataclass(frozen=True, slots=True)
 class StoreOperationOutcome:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -1,7 +1,8 @@
 """Reads registry and operator records from the store as they are written.
 
 Usually one VM of each failure domain does so; see ``is_reader``. Another one
-does while it is behind and gets no updates.
+does while it is behind and gets no updates. A reader that is behind the store
+lists the newest record of each key instead of reading all records in order.
 """
 
 from __future__ import annotations
@@ -45,7 +46,8 @@
     ``is_reader`` returns whether this VM should read now, ``must_catch_up``
     whether it should read one part of the state otherwise. ``changed`` is
     called with ``registry`` or ``operator`` after that part of the state has
-    changed, ``was_read`` after each read with the time when it began.
+    changed, ``was_read`` after each read that contained the newest records, with
+    the time when it began.
     """
 
     is_reader: Callable[[], bool]
@@ -103,10 +105,7 @@
             must_read = self._callbacks.must_catch_up(StatePart.REGISTRY)
             if self._update_reader_role() or must_read:
                 await self._read_backends()
-                pause_s = self._schedule.period_s
-                if self._failures:
-                    pause_s = retry_pause_s(self._failures, self._schedule)
-                await self._sleep(pause_s)
+                await self._sleep(self._backend_pause_s())
             else:
                 self._forget_old_failures()
                 await self._sleep(_IDLE_CHECK_S)
@@ -130,6 +129,14 @@
                 self._store.stop_watching()
         return is_reader
 
+    def _backend_pause_s(self) -> float:
+        """Return the pause in seconds before the next read of the registry."""
+        if self._failures:
+            return retry_pause_s(self._failures, self._schedule)
+        if self._needs_backend_listing:
+            return _IDLE_CHECK_S
+        return self._schedule.period_s
+
     async def _read_backends(self) -> None:
         begun_s = self._clock.monotonic_s()
         directory = self._state.directory
@@ -146,16 +153,13 @@
         if not is_listing and directory.next_offset < offset:
             # An update led back to records that this read left out.
             return
-        self.last_read_s = begun_s
-        self._log_if_incomplete(
-            StatePart.REGISTRY, read_result.unwrap(), begun_s
-        )
-        self._apply_backends(read_result.unwrap(), is_listing=is_listing)
+        self._apply_backends(read_result.unwrap(), begun_s, is_listing)
 
     def _apply_backends(
-        self, read_result: Registrations, *, is_listing: bool
+        self, read_result: Registrations, begun_s: float, is_listing: bool
     ) -> None:
-        self._needs_backend_listing = False
+        self._needs_backend_listing = not read_result.is_complete
+        self._log_if_incomplete(StatePart.REGISTRY, read_result, begun_s)
         self._log_invalid(read_result.invalid)
         directory = self._state.directory
         now_s = self._clock.monotonic_s()
@@ -169,8 +173,10 @@
                 directory.next_offset,
                 read_result.next_offset,
             )
-        changed = directory.expire(self.last_read_s) or changed
-        self._callbacks.was_read(StatePart.REGISTRY, self.last_read_s)
+        if read_result.is_complete:
+            self.last_read_s = begun_s
+            changed = directory.expire(begun_s) or changed
+            self._callbacks.was_read(StatePart.REGISTRY, begun_s)
         if changed:
             self._callbacks.changed('registry')
 
@@ -192,11 +198,7 @@
         if read_result.is_err():
             return self._operator_read_failed(read_result.unwrap_err())
         self._operator_failures = 0
-        self._log_if_incomplete(
-            StatePart.OPERATOR, read_result.unwrap(), begun_s
-        )
-        self._callbacks.was_read(StatePart.OPERATOR, begun_s)
-        self._apply_operator(read_result.unwrap(), is_listing=is_listing)
+        self._apply_operator(read_result.unwrap(), begun_s, is_listing)
         return 0
 
     def _operator_read_failed(self, error: StoreError) -> float:
@@ -219,11 +221,14 @@
     def _apply_operator(
         self,
         read_result: OperatorRecords,
-        *,
+        begun_s: float,
         is_listing: bool,
     ) -> None:
-        self._needs_operator_listing = False
+        self._needs_operator_listing = not read_result.is_complete
         self._has_operator_listing = True
+        self._log_if_incomplete(StatePart.OPERATOR, read_result, begun_s)
+        if read_result.is_complete:
+            self._callbacks.was_read(StatePart.OPERATOR, begun_s)
         self._log_invalid(read_result.invalid)
         apply_records = self._state.apply_operator_records
         if is_listing:
@@ -279,7 +284,7 @@
         begun_s: float,
     ) -> None:
         """Log a read that left out newer records, with its duration."""
-        if read_result.next_offset < read_result.end_offset:
+        if not read_result.is_complete:
             log_event(
                 LogEvent.READ_INCOMPLETE,
                 part=part.value,
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -61,6 +61,19 @@
 LIST_TIMEOUT_S = 2.0
 """Timeout of one page of a listing, which may be a megabyte."""
 
+MAX_OPERATOR_READ_KB = 64
+"""Limit on the records of one read of the operator's topic.
+
+A read returns at least one record. A configuration may have 256 KB, so a read
+does not return a second one where it would delay a newer one.
+"""
+
+MAX_REGISTRY_READ_KB = 256
+"""Limit on the records of one read of the registry.
+
+Over a link of 5 Mbit/s that much arrives within ``CALL_TIMEOUT_S``.
+"""
+
 WATCH_MARGIN_S = 0.3
 """Time for the response to a read after its wait has ended."""
 
@@ -116,8 +129,13 @@
         self,
         from_offset: int,
     ) -> Result[Registrations, StoreError]:
-        """Return the registrations from an offset on, without waiting."""
-        request = _read_request(_BACKENDS_TOPIC, from_offset)
+        """Return the registrations from an offset on, without waiting.
+
+        At most ``MAX_REGISTRY_READ_KB`` of records are read.
+        """
+        request = _read_request(
+            _BACKENDS_TOPIC, from_offset, max_kb=MAX_REGISTRY_READ_KB
+        )
         response_body = await self._call(
             'read-backends', request, CALL_TIMEOUT_S
         )
@@ -140,11 +158,14 @@
     ) -> Result[OperatorRecords, StoreError]:
         """Return records of the operator from an offset on.
 
-        Waits up to ``wait_s`` seconds for the first record.
+        Waits up to ``wait_s`` seconds for the first record. At most
+        ``MAX_OPERATOR_READ_KB`` of records or one record are read.
         """
         client = self._acquire_client()
         self._watch_client = client
-        query = _read_request(_OPERATOR_TOPIC, from_offset, wait_s)
+        query = _read_request(
+            _OPERATOR_TOPIC, from_offset, wait_s, MAX_OPERATOR_READ_KB
+        )
         response_body = await self._call(
             'watch-operator', query, wait_s + WATCH_MARGIN_S, client
         )
@@ -316,9 +337,7 @@
 
 def _operator_records(read: KeyedRead) -> OperatorRecords:
     records, invalid = _decode_all(read, decode_operator_record)
-    return OperatorRecords(
-        records, invalid, read.next_offset, read.end_offset
-    )
+    return OperatorRecords(records, invalid, read.next_offset, read.end_offset)
 
 
 def _vms(read: KeyedRead) -> tuple[Vm, ...]:
@@ -343,8 +362,11 @@
     topic: str,
     from_offset: int,
     wait_s: float = 0,
+    max_kb: int = 0,
 ) -> HttpRequest:
     query = {'Topic': topic, 'part': 0, 'From': from_offset}
+    if max_kb:
+        query['MaxKb'] = max_kb
     if wait_s:
         query['WaitMs'] = int(wait_s * _MS_PER_S)
     return HttpRequest('GET', _request_target('log-read', **query))
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -26,6 +26,7 @@
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.fleet.state import FleetState, OperatorChange
+from turmericpost_core.fleet.state_lag import StatePart
 from turmericpost_core.membership.domain_view import Vm
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
@@ -47,6 +48,7 @@
         self.silent_reads = 0
         self.invalid: tuple[InvalidRecord, ...] = ()
         self.wait_s = float(0)
+        self.left_out_count = 0
         self._watch: Deferred[None] | None = None
 
     @property
@@ -97,7 +99,8 @@
         from_offset: int,
     ) -> Result[Registrations, StoreError]:
         self.calls['read-backends'] += 1
-        return Ok(Registrations((), (), from_offset, from_offset))
+        end = from_offset + self.left_out_count
+        return Ok(Registrations((), (), from_offset, end))
 
     async def announce(self, vm: Vm) -> Result[None, StoreError]:
         return Ok(None)
@@ -109,7 +112,8 @@
         if self.error is not None:
             return Err(self.error)
         new_records = tuple(self.records[from_offset:])
-        return Ok(OperatorRecords(new_records, (), self.end, self.end))
+        end = self.end + self.left_out_count
+        return Ok(OperatorRecords(new_records, (), self.end, end))
 
     def _wake_watcher(self) -> None:
         watch = self._watch
@@ -124,6 +128,7 @@
         self.store = FakeStore()
         self.state = FleetState()
         self.changes: list[str] = []
+        self.complete_reads: list[StatePart] = []
         self.is_reader = True
         self.schedule = new_read_schedule(DRAIN_BOUND_S, CONFIG_BOUND_S)
         self.reader = StoreReader(
@@ -136,7 +141,7 @@
                 lambda: self.is_reader,
                 lambda _part: False,
                 self.changes.append,
-                lambda _part, _begun_s: None,
+                lambda part, _begun_s: self.complete_reads.append(part),
             ),
         )
 
@@ -154,6 +159,24 @@
         self.assertEqual(self.changes, ['operator'])
         self.assertEqual(self.state.evacuated, {'nasr'})
 
+    # Guards against a VM that counts as current, and drops servers that are
+    # registered again, though its read did not reach the newest records.
+    def test_incomplete_read_is_followed_by_a_listing(self) -> None:
+        self.reader.start()
+        self.store.left_out_count = 3
+        self.complete_reads.clear()
+        with patch.object(self.state.directory, 'expire') as expire:
+            self.store.write('nasr')
+            self.advance_time(self.schedule.period_s + STEP_S)
+            self.assertEqual(self.store.calls['list-operator'], 2)
+            self.assertFalse(expire.called)
+            self.advance_time(self.schedule.period_s / 2)
+        self.assertEqual(self.store.calls['list-backends'], 2)
+        self.assertTrue(expire.called)
+        self.assertEqual(
+            self.complete_reads, [StatePart.OPERATOR, StatePart.REGISTRY]
+        )
+
     def test_registry_is_read_once_a_period(self) -> None:
         self.reader.start()
         self.advance_time(WAIT_S)
--- a/packages/turmericpost-entry/tests/platform/test_decoding.py
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.platform.samples import CONFIG
 from turmericpost.fleet.message_codec import decode_message, encode_message
 from turmericpost.fleet.messages import (
     AvailabilityMessage,
@@ -67,38 +68,6 @@
 Platform.Address=10.200.1.7:8541
 Some.NewField=7
 """
-_CONFIG = {
-    'Version': 7,
-    'Routes': [
-        {
-            'Name': 'r1',
-            'Host': 'A.example',
-            'PathPrefix': '/a/',
-            'RouteType': 'non_idempotent',
-            'TimeoutMs': 1200,
-            'SloLatencyMs': 600,
-            'Priority': 2,
-            'TrafficSplit': [{'Service': 'press', 'Weight': 90}],
-            'MaxAttempts': 2,
-            'AllowedRegions': ['cairo'],
-        },
-    ],
-    'Services': [
-        {
-            'Name': 'press',
-            'HealthCheckPath': '/health',
-            'MaxConnections': 260,
-            'WarmupS': 3.0,
-            'WarmupPerS': 2.9,
-        },
-    ],
-    'Limits': {
-        'MaxHeaderBytes': 16384,
-        'MaxBodyBytes': 67108864,
-        'HeaderTimeoutMs': 3000,
-        'IdleTimeoutMs': 15000,
-    },
-}
 _VM = Vm('vm1', '10.0.0.1', 7540, '10.0.0.1:80', 'nasr', 'cairo', 5)
 _BACKEND = Backend(
     'b1',
@@ -115,7 +84,7 @@
 
 
 def config_record(**changes: object) -> KeyedRecord:
-    text = json.dumps({**_CONFIG, **changes}).encode()
+    text = json.dumps({**CONFIG, **changes}).encode()
     return KeyedRecord(0, 'config', text)
 
 
@@ -159,7 +128,7 @@
         self.assertEqual(config.services['press'].cold_per_s, 2.9)
 
     def test_invalid_configurations_are_rejected_with_a_reason(self) -> None:
-        route = _CONFIG['Routes'][0]
+        route = CONFIG['Routes'][0]
         for changes in (
             {'Version': 'seven'},
             {'Routes': None},
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -35,8 +35,8 @@
         site = Site(self.service, reactor=self.reactor)
         site.noisy = False
         port = self.reactor.listenTCP(0, site, interface='127.0.0.1')
-        address = ('127.0.0.1', port.getHost().port)
-        self.client = StoreClient(self.reactor, address)
+        self.address = ('127.0.0.1', port.getHost().port)
+        self.client = StoreClient(self.reactor, self.address)
 
     def register(self, number: int, **changes: object) -> None:
         entry = json.dumps({**ENTRY, **changes}).encode()
