Log outages of the store with their times, and postponed removals

Change: store-reachable (5002) has the time since the first and the last failure; removals-postponed (5009) and removals-confirmed (5010) name the servers, when their removals are due and how late they were confirmed. Conclusion: no change of decisions.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -86,6 +86,14 @@
         """
         return self.resume_offset >= self.version[0]
 
+    @property
+    def postponed_s(self) -> Mapping[str, float]:
+        """When postponed removals are due, in monotonic seconds by server."""
+        return {
+            backend_id: removal.due_s
+            for backend_id, removal in self._removals.items()
+        }
+
     def lacks(self, version: Version, next_offset: int) -> bool:
         """Return whether the registry of another VM should replace this one.
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,6 +37,7 @@
 
 _IDLE_CHECK_S = 0.1
 _MAX_DETAIL_CHARACTERS = 200
+_MAX_LOGGED_SERVERS = 8
 
 
 @dataclass(frozen=True)
@@ -81,6 +82,7 @@
         self._callbacks = callbacks
         self._failures = 0
         self._failed_s = float('-inf')
+        self._first_failed_s = float('-inf')
         self._operator_failures = 0
         self._needs_backend_listing = False
         self._needs_operator_listing = False
@@ -149,7 +151,7 @@
         if read_result.is_err():
             self._backend_read_failed(read_result.unwrap_err())
             return
-        self._backend_read_succeeded()
+        self._backend_read_succeeded(begun_s)
         if not is_listing and directory.next_offset < offset:
             # An update led back to records that this read left out.
             return
@@ -163,6 +165,7 @@
         self._log_invalid(read_result.invalid)
         directory = self._state.directory
         now_s = self._clock.monotonic_s()
+        postponed_before = directory.postponed_s
         if is_listing:
             changed = directory.resync(
                 read_result.records, read_result.next_offset, now_s
@@ -175,11 +178,39 @@
             )
         if read_result.is_complete:
             self.last_read_s = begun_s
-            changed = directory.expire(begun_s) or changed
+            changed = self._confirm_removals(begun_s) or changed
             self._callbacks.was_read(StatePart.REGISTRY, begun_s)
+        self._log_postponed(postponed_before, now_s)
         if changed:
             self._callbacks.changed('registry')
 
+    def _confirm_removals(self, read_s: float) -> bool:
+        """Drop servers that a read found missing; return whether any was."""
+        directory = self._state.directory
+        before = directory.postponed_s
+        if not directory.expire(read_s):
+            return False
+        expired = sorted(before.keys() - directory.postponed_s.keys())
+        log_event(
+            LogEvent.REMOVALS_CONFIRMED,
+            servers=expired[:_MAX_LOGGED_SERVERS],
+            count=len(expired),
+            late_s=round(read_s - min(before[name] for name in expired), 3),
+        )
+        return True
+
+    def _log_postponed(self, before: Mapping[str, float], now_s: float) -> None:
+        """Log the removals that have been postponed since ``before``."""
+        due_s = self._state.directory.postponed_s
+        added = sorted(due_s.keys() - before.keys())
+        if added:
+            log_event(
+                LogEvent.REMOVALS_POSTPONED,
+                servers=added[:_MAX_LOGGED_SERVERS],
+                count=len(added),
+                due_in_s=round(max(due_s[name] for name in added) - now_s, 3),
+            )
+
     async def _read_operator(self) -> float:
         """Read operator records once.
 
@@ -244,6 +275,7 @@
         self._failures += 1
         self._failed_s = self._clock.monotonic_s()
         if self._failures == 1:
+            self._first_failed_s = self._failed_s
             log_event(
                 LogEvent.STORE_UNREACHABLE,
                 kind=error.kind.value,
@@ -262,7 +294,7 @@
         ):
             self._failures = 0
 
-    def _backend_read_succeeded(self) -> None:
+    def _backend_read_succeeded(self, begun_s: float) -> None:
         """Reset the failure count after a successful read.
 
         After an outage of the store, expired registrations are kept for a while
@@ -270,7 +302,12 @@
         """
         if not self._failures:
             return
-        log_event(LogEvent.STORE_REACHABLE, failures=self._failures)
+        log_event(
+            LogEvent.STORE_REACHABLE,
+            failures=self._failures,
+            since_first_failure_s=round(begun_s - self._first_failed_s, 3),
+            since_last_failure_s=round(begun_s - self._failed_s, 3),
+        )
         self._failures = 0
         self._state.directory.start_reregistration_grace(
             self._clock.monotonic_s()
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -119,6 +119,16 @@
         Level.INFO,
         'a read of the store left out newer records',
     )
+    REMOVALS_POSTPONED = (
+        5009,
+        Level.INFO,
+        'entries are missing after an outage; their servers may register again',
+    )
+    REMOVALS_CONFIRMED = (
+        5010,
+        Level.INFO,
+        'servers whose entries are still missing are no longer used',
+    )
     KNOWLEDGE_CHANGED = (
         5101,
         Level.INFO,
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -165,7 +165,8 @@
         self.reader.start()
         self.store.left_out_count = 3
         self.complete_reads.clear()
-        with patch.object(self.state.directory, 'expire') as expire:
+        directory = self.state.directory
+        with patch.object(directory, 'expire', return_value=False) as expire:
             self.store.write('nasr')
             self.advance_time(self.schedule.period_s + STEP_S)
             self.assertEqual(self.store.calls['list-operator'], 2)
