Notice the end of an outage of the store within a read period

Callers saw: requests sent to servers that had left, up to 2.2 s after their removal was confirmed (bound 2.0), 3 s and more after an outage of the store. Cause: three delays that add up: a backoff of 2.0 s and a timeout of 0.6 s before the end of the outage is noticed, then 2.5 s for servers to register again, then up to 0.6 s to the read that confirms the removal. Change: the first VM in rank of a domain retries once a period; postponed removals are read again when they are due. Why it works: what is left is at most 0.6 s timeout, 0.6 s pause and 2.5 s.

--- a/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
+++ b/packages/turmericpost-core/src/turmericpost_core/membership/store_read_schedule.py
@@ -61,9 +61,11 @@
 """
 
 MAX_RETRY_PAUSE_S = 2.0
-"""Maximum pause after failed reads.
+"""Maximum pause after failed reads of VMs that are not the first to read.
 
-Reads back off because rejected store requests are billed, too.
+Reads back off because rejected store requests are billed, too, and all VMs read
+while the store is away. The first one does not, so that it notices the end of
+an outage within a period.
 """
 
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -86,6 +86,7 @@
             schedule,
             ReaderCallbacks(
                 self.is_reader,
+                self._is_first_reader,
                 self._must_catch_up,
                 self._state_changed,
                 self.monitor.store_read,
@@ -132,14 +133,12 @@
             return False
         if self._catch_up.reads_on(now_s):
             return True
-        own = self._view.own
-        ranked = self._view.ranked(_READER_SUBJECT, own.failure_domain, now_s)
         ages_s = {
             name: age_s + now_s - received_s
             for name, (age_s, received_s) in self._read_ages_s.items()
         }
-        names = tuple(vm.name for vm in ranked)
-        return is_reader(names, own.name, ages_s, self._schedule)
+        names = self._ranked_readers(now_s)
+        return is_reader(names, self._view.own.name, ages_s, self._schedule)
 
     def state_version_received(
         self, vm: Vm, state_version: StateVersion
@@ -226,6 +225,17 @@
     def _fetch_failed(self, vm: Vm, cause: str, detail: str) -> None:
         self.monitor.failed(StateWay.FETCH, cause, vm=vm.name, detail=detail)
 
+    def _is_first_reader(self) -> bool:
+        """Return whether no other VM of the domain should read before this."""
+        names = self._ranked_readers(self._clock.monotonic_s())
+        return names[:1] == (self._view.own.name,)
+
+    def _ranked_readers(self, now_s: float) -> tuple[str, ...]:
+        """Return the names of the domain's VMs in the order in which they read."""
+        domain = self._view.own.failure_domain
+        ranked = self._view.ranked(_READER_SUBJECT, domain, now_s)
+        return tuple(vm.name for vm in ranked)
+
     def _must_catch_up(self, part: StatePart) -> bool:
         """Return whether this VM should read a part that others have newer."""
         return self._catch_up.must_read(
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -44,14 +44,16 @@
 class ReaderCallbacks:
     """Callbacks of the store reader.
 
-    ``is_reader`` returns whether this VM should read now, ``must_catch_up``
-    whether it should read one part of the state otherwise. ``changed`` is
+    ``is_reader`` returns whether this VM should read now, ``is_first_reader``
+    whether it is the one that others rely on, ``must_catch_up`` whether it
+    should read one part of the state otherwise. ``changed`` is
     called with ``registry`` or ``operator`` after that part of the state has
     changed, ``was_read`` after each read that contained the newest records, with
     the time when it began.
     """
 
     is_reader: Callable[[], bool]
+    is_first_reader: Callable[[], bool]
     must_catch_up: Callable[[StatePart], bool]
     changed: Callable[[str], None]
     was_read: Callable[[StatePart, float], None]
@@ -132,12 +134,20 @@
         return is_reader
 
     def _backend_pause_s(self) -> float:
-        """Return the pause in seconds before the next read of the registry."""
+        """Return the pause in seconds before the next read of the registry.
+
+        Postponed removals are read again as soon as they are due.
+        """
+        period_s = self._schedule.period_s
+        if self._failures and self._callbacks.is_first_reader():
+            return period_s
         if self._failures:
             return retry_pause_s(self._failures, self._schedule)
         if self._needs_backend_listing:
             return _IDLE_CHECK_S
-        return self._schedule.period_s
+        due_s = self._state.directory.postponed_s.values()
+        left_s = min(due_s, default=float('inf')) - self._clock.monotonic_s()
+        return min(period_s, max(left_s, 0))
 
     async def _read_backends(self) -> None:
         begun_s = self._clock.monotonic_s()
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -139,6 +139,7 @@
             self.schedule,
             ReaderCallbacks(
                 lambda: self.is_reader,
+                lambda: True,
                 lambda _part: False,
                 self.changes.append,
                 lambda part, _begun_s: self.complete_reads.append(part),
--- a/packages/turmericpost-entry/tests/platform/test_backlog.py
+++ b/packages/turmericpost-entry/tests/platform/test_backlog.py
@@ -41,6 +41,7 @@
             self.state,
             new_read_schedule(2, 2),
             ReaderCallbacks(
+                lambda: True,
                 lambda: True,
                 lambda _part: False,
                 lambda _part: None,
