Do not take one lost read of the store for an outage

Cause: any failed read of the registry began the 2.5 s in which servers may register again. A response that is missing on a used connection doesn't show an outage. Why it works: entries expire after three missing check-ins, which one read of 0.6 s can't cover, so nothing has to register again.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -83,6 +83,7 @@
         self._schedule = schedule
         self._callbacks = callbacks
         self._failures = 0
+        self._is_store_away = False
         self._failed_s = float('-inf')
         self._first_failed_s = float('-inf')
         self._operator_failures = 0
@@ -283,6 +284,9 @@
             log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
             return
         self._failures += 1
+        is_silent = error.kind is StoreErrorKind.NO_RESPONSE
+        if self._failures > 1 or not is_silent:
+            self._is_store_away = True
         self._failed_s = self._clock.monotonic_s()
         if self._failures == 1:
             self._first_failed_s = self._failed_s
@@ -303,26 +307,32 @@
             and age_s > MAX_RETRY_PAUSE_S + REREGISTRATION_GRACE_S
         ):
             self._failures = 0
+            self._is_store_away = False
 
     def _backend_read_succeeded(self, begun_s: float) -> None:
         """Reset the failure count after a successful read.
 
         After an outage of the store, expired registrations are kept for a while
-        so that backend servers can register again.
+        so that backend servers can register again. A single missing response
+        is no outage: the connection may have gone silent.
         """
         if not self._failures:
             return
+        was_away = self._is_store_away
         log_event(
             LogEvent.STORE_REACHABLE,
             failures=self._failures,
             since_first_failure_s=round(begun_s - self._first_failed_s, 3),
             since_last_failure_s=round(begun_s - self._failed_s, 3),
+            was_away=was_away,
         )
         self._failures = 0
-        self._state.directory.start_reregistration_grace(
-            self._clock.monotonic_s()
-        )
+        self._is_store_away = False
         self._store.stop_watching()
+        if was_away:
+            self._state.directory.start_reregistration_grace(
+                self._clock.monotonic_s()
+            )
 
     def _log_if_incomplete(
         self,
