Log and count denials of permits with what they were based on

Change: permit-denied (5116, two lines a second) has the assumed service time, the time left, the queue and the servers with room; turmericpost_permit_denials_total counts all by reason. Measured: test_denial_shows_on_what_it_was_based. Conclusion: no change of decisions.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -26,6 +26,7 @@
 )
 from turmericpost_core.grants.backend_state import BackendState
 from turmericpost_core.grants.grant_observer import (
+    DenialBasis,
     GrantObserver,
     GrantTerms,
     IgnoringObserver,
@@ -143,6 +144,7 @@
         cold_pace = self._cold_pace(request.pool)
         denial = pool.immediate_denial(request, now_s, cold_pace)
         if denial is not None:
+            self._observe_denial(denial, now_s)
             return (denial,)
         pool.queue.add(request)
         return self.decide(now_s, request.pool)
@@ -299,6 +301,8 @@
                 ahead += 1
             else:
                 pool_state.queue.remove(request.permit_request_id)
+                if isinstance(decision, PermitDenial):
+                    self._observe_denial(decision, now_s)
                 yield decision
         if pool_state.queue:
             yield from self._probe_requests(pool, now_s)
@@ -370,6 +374,16 @@
         self.observer.permit_granted(grant, server, terms, now_s)
         return grant
 
+    def _observe_denial(self, denial: PermitDenial, now_s: float) -> None:
+        pool_id = denial.request.pool
+        pool = self._pool(pool_id)
+        basis = DenialBasis(
+            pool.queue.typical_service_time_s(denial.request),
+            len(pool.queue),
+            len(pool.available_backends(now_s, self._cold_pace(pool_id))),
+        )
+        self.observer.request_denied(denial, basis, now_s)
+
     def _terms(self, pool: Pool) -> GrantTerms:
         share = self._broker_share(pool)
         return GrantTerms(
--- a/packages/turmericpost-core/src/turmericpost_core/grants/grant_observer.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/grant_observer.py
@@ -6,7 +6,7 @@
 from typing import Protocol as Interface
 
 from turmericpost_core.grants.backend_state import BackendState
-from turmericpost_core.grants.permits import PermitGrant
+from turmericpost_core.grants.permits import PermitDenial, PermitGrant
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,8 +24,22 @@
     allowed_in_s: int
 
 
+@dataclass(frozen=True, slots=True)
+class DenialBasis:
+    """What a broker knew of a pool when it denied a request.
+
+    ``service_time_s`` is the typical service time that it assumed for the call,
+    ``queued`` the number of other requests that wait, and ``with_room`` the number
+    of servers that could have taken an attempt.
+    """
+
+    service_time_s: float
+    queued: int
+    with_room: int
+
+
 class GrantObserver(Interface):
-    """Receives what a broker has granted; must not change its state."""
+    """Receives what a broker has decided; must not change its state."""
 
     def permit_granted(
         self,
@@ -36,6 +50,11 @@
     ) -> None:
         """Handle a grant that the state of the server already counts."""
 
+    def request_denied(
+        self, denial: PermitDenial, basis: DenialBasis, now_s: float
+    ) -> None:
+        """Handle a denial."""
+
     def found_cold(self, server: BackendState, now_s: float) -> None:
         """Handle a report of being cold of a server believed to be warm.
 
@@ -55,5 +74,10 @@
     ) -> None:
         """Ignore a grant."""
 
+    def request_denied(
+        self, denial: PermitDenial, basis: DenialBasis, now_s: float
+    ) -> None:
+        """Ignore a denial."""
+
     def found_cold(self, server: BackendState, now_s: float) -> None:
         """Ignore a server that turned out to be cold."""
--- a/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/gateway_metrics.py
@@ -15,6 +15,7 @@
 from turmericpost.fleet.store import StoreOperationOutcome
 from turmericpost.observe.histogram import new_histogram
 from turmericpost_core.fleet.state_lag import StateWay
+from turmericpost_core.grants.permits import DenialReason
 from turmericpost_core.outcome.reasons import RefusalReason
 
 _US_PER_S = 1_000_000
@@ -40,6 +41,7 @@
         self.cold_permits: Counter[str] = Counter()
         self.max_cold_permits_in_s = 0
         self.servers_found_cold = 0
+        self.permit_denials: Counter[DenialReason] = Counter()
 
     def record_response(self, latency_s: float, status: int) -> None:
         """Count a call with a response of a backend server, and its latency."""
@@ -113,6 +115,14 @@
                 for kind in _COLD_PERMIT_KINDS
             },
         )
+        yield _by_label(
+            'permit_denials',
+            'reason',
+            {
+                reason.value: self._metrics.permit_denials[reason]
+                for reason in DenialReason
+            },
+        )
         yield CounterMetricFamily(
             'turmericpost_servers_found_cold',
             'Servers believed to be warm that reported to be cold.',
--- a/packages/turmericpost-entry/src/turmericpost/gateway/grant_log.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/grant_log.py
@@ -1,4 +1,4 @@
-"""Logs and counts the permits for cold servers, and who grants them."""
+"""Logs and counts denials and the permits for cold servers."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from turmericpost.observe.line_rate_limiter import LineRateLimiter
 from turmericpost_core.clock import Clock
 from turmericpost_core.grants.backend_state import BackendState
-from turmericpost_core.grants.grant_observer import GrantTerms
-from turmericpost_core.grants.permits import PermitGrant
+from turmericpost_core.grants.grant_observer import DenialBasis, GrantTerms
+from turmericpost_core.grants.permits import PermitDenial, PermitGrant
 from turmericpost_core.membership.domain_view import DomainView
 
 COLD_PERMIT_LINES_PER_S = 50
@@ -20,13 +20,17 @@
 FOUND_COLD_LINES_PER_S = 20
 """Maximum lines a second about servers that turned out to be cold."""
 
+DENIAL_LINES_PER_S = 2
+"""Maximum lines a second about denials; all are counted."""
+
 _DIGITS = 3
 
 
 class GrantLog:
     """Observer of the broker that logs and counts.
 
-    Only a permit for a server that may be cold gets a line of its own.
+    Only a permit for a server that may be cold gets a line of its own. Of denials
+    a few lines a second tell on what they were based.
     """
 
     def __init__(
@@ -39,6 +43,7 @@
         self._limiters = {
             'cold-permits': LineRateLimiter(clock, COLD_PERMIT_LINES_PER_S),
             'found-cold': LineRateLimiter(clock, FOUND_COLD_LINES_PER_S),
+            'denials': LineRateLimiter(clock, DENIAL_LINES_PER_S),
         }
 
     def permit_granted(
@@ -56,6 +61,14 @@
             if self._limiters['cold-permits'].allow_line():
                 _log_cold_permit(grant, server, terms, attempts, now_s)
 
+    def request_denied(
+        self, denial: PermitDenial, basis: DenialBasis, now_s: float
+    ) -> None:
+        """Count a denial, and log some."""
+        self._metrics.permit_denials[denial.reason] += 1
+        if self._limiters['denials'].allow_line():
+            _log_denial(denial, basis, now_s)
+
     def found_cold(self, server: BackendState, now_s: float) -> None:
         """Count and log a server that was believed to be warm."""
         self._metrics.servers_found_cold += 1
@@ -127,6 +140,22 @@
     )
 
 
+def _log_denial(denial: PermitDenial, basis: DenialBasis, now_s: float) -> None:
+    request = denial.request
+    log_event(
+        LogEvent.PERMIT_DENIED,
+        request=request.permit_request_id,
+        service=request.service,
+        domain=request.failure_domain,
+        reason=denial.reason.value,
+        objective_in_s=round(request.objective_at_s - now_s, _DIGITS),
+        deadline_in_s=round(request.deadline_at_s - now_s, _DIGITS),
+        service_time_s=round(basis.service_time_s, _DIGITS),
+        queued=basis.queued,
+        servers_with_room=basis.with_room,
+    )
+
+
 def _warm_report_age_s(server: BackendState, now_s: float) -> float | None:
     age_s = server.warm_report_age_s(now_s)
     return round(age_s, _DIGITS) if isfinite(age_s) else None
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -202,6 +202,11 @@
         Level.INFO,
         'a server that was believed to be warm reports to be cold',
     )
+    PERMIT_DENIED = (
+        5116,
+        Level.INFO,
+        'a request for a permit was denied, and on what that was based',
+    )
     DATAGRAM_NOT_SENT = (5104, Level.WARNING, 'a datagram was not sent')
     CALL_ENDED = (6002, Level.INFO, 'a call ended with a response')
     CALL_FAILED = (6003, Level.INFO, 'a call ended without a response')
--- a/packages/turmericpost-entry/tests/gateway/test_grant_log.py
+++ b/packages/turmericpost-entry/tests/gateway/test_grant_log.py
@@ -20,6 +20,7 @@
 )
 from turmericpost.gateway.grant_log import (
     COLD_PERMIT_LINES_PER_S,
+    DENIAL_LINES_PER_S,
     FOUND_COLD_LINES_PER_S,
     GrantLog,
 )
@@ -213,6 +214,32 @@
             ],
         )
 
+    # Guards against refusals of which no log tells whether servers had no room or
+    # the calls seemed to take too long.
+    def test_denial_shows_on_what_it_was_based(self) -> None:
+        request = PermitRequest(
+            permit_request_id='vm1.1',
+            requester='vm1',
+            service='press',
+            failure_domain='nasr',
+            rank=1,
+            arrived_s=self.now_s,
+            requested_s=self.now_s,
+            objective_at_s=self.now_s + 1,
+            deadline_at_s=self.now_s + 0.1,
+        )
+        for _ in range(DENIAL_LINES_PER_S + 3):
+            self.broker.request(request, self.now_s)
+        lines = self._lines(LogEvent.PERMIT_DENIED)
+        self.assertEqual(len(lines), DENIAL_LINES_PER_S)
+        self.assertEqual(lines[0]['deadline_in_s'], 0.1)
+        self.assertEqual(lines[0]['service_time_s'], 0.37)
+        self.assertEqual(lines[0]['queued'], 0)
+        self.assertIn(
+            'turmericpost_permit_denials_total{reason="overloaded"} 5.0',
+            self._exposition(),
+        )
+
     def _install_pace(self, cold_per_s: float) -> None:
         spec = ServiceSpec('press', '/health', 260, 3, cold_per_s)
         self.broker.install_services({'press': spec})
