Estimate service times by class of calls, and measure what they refuse

Callers saw: 503 for every request on an added route (294 of 294), while slots were free and the first route of the service was served. Cause: one typical service time for all calls of a pool. It denied each request whose deadline was nearer, and only granted calls could correct it. Change: estimates by rank and latency objective; a request that an estimate refuses is granted at intervals, one at a time, on a fast server with room, to measure it. The wait in the queue still follows from the mean of all calls. Why it works: calls of other lengths don't count for a class, and no estimate can refuse for good, since it is contradicted by calls that it refuses.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -207,7 +207,7 @@
             factor = record.slowness_percent / _PERCENT
             queue = self._pool(pool_of(server.backend)).queue
             queue.record_service_time(
-                attempt_report.latency_s / factor, record.objective_s
+                attempt_report.latency_s / factor, record, now_s
             )
         return self.decide(now_s, pool_of(server.backend))
 
@@ -313,9 +313,10 @@
         candidates: Candidates,
         now_s: float,
     ) -> PermitGrant | PermitDenial | None:
-        queue = self._pool(request.pool).queue
-        typical_service_time_s = queue.typical_service_time_s(request)
-        if now_s + typical_service_time_s > request.deadline_at_s:
+        pool = self._pool(request.pool)
+        typical_service_time_s = pool.queue.service_times.typical_s(request)
+        is_too_long = now_s + typical_service_time_s > request.deadline_at_s
+        if is_too_long and not pool.is_measurement(request):
             return PermitDenial(
                 request, DenialReason.DEADLINE, typical_service_time_s
             )
@@ -324,7 +325,7 @@
         )
         if server is None:
             return None
-        queue.record_grant(now_s)
+        pool.queue.record_grant(now_s)
         return self._grant(request, server, now_s)
 
     def _candidates(self, pool: Pool, now_s: float) -> Candidates:
@@ -352,13 +353,18 @@
         elif not retry_budget.try_spend(now_s, self._own_share(request.pool)):
             return PermitDenial(request, DenialReason.RETRY_BUDGET)
         server.record_attempt_start(now_s, is_retry=request.is_retry)
+        is_measurement = pool.is_measurement(request)
+        if is_measurement:
+            pool.queue.service_times.begin_measurement(
+                request.call_class, now_s
+            )
         grant = PermitGrant(
             request,
             server.backend,
             self._permit_table.new_permit_id(),
             server.slowness_percent,
             now_s - server.reported_s,
-            pool.queue.typical_service_time_s(request)
+            pool.queue.service_times.typical_s(request)
             * server.slowdown_factor(now_s),
         )
         record = PermitRecord(
@@ -366,8 +372,9 @@
             request.requester,
             now_s,
             request.deadline_at_s,
-            request.objective_at_s - request.arrived_s,
+            request.call_class,
             server.slowness_percent,
+            is_measurement,
         )
         self._permit_table.add_grant(grant, record)
         terms = self._terms(request.pool)
@@ -378,7 +385,7 @@
         pool_id = denial.request.pool
         pool = self._pool(pool_id)
         basis = DenialBasis(
-            pool.queue.typical_service_time_s(denial.request),
+            pool.queue.service_times.typical_s(denial.request),
             len(pool.queue),
             len(pool.available_backends(now_s, self._cold_pace(pool_id))),
         )
--- a/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/permits.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 from typing import TypeAlias
 
 from turmericpost_core.fleet.backends import Backend
@@ -12,6 +13,26 @@
 """Service and failure domain, which identify the servers of one broker."""
 
 
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class CallClass:
+    """Calls of a service that are taken to need the same time.
+
+    A permit request names no route, but routes whose calls take different times
+    have different latency objectives or ranks.
+    """
+
+    rank: int
+    objective_ms: int
+
+    @property
+    def objective_s(self) -> float:
+        """The latency objective in seconds."""
+        return self.objective_ms / _MS_PER_S
+
+
 class DenialReason(Enum):
     """Why a broker denies a permit request."""
 
@@ -36,7 +57,7 @@
     UNUSED = 'unused'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class PermitRequest:
     """Request for a permit to send one attempt of a call.
 
@@ -66,6 +87,12 @@
         """The pool whose backend servers may serve the call."""
         return self.service, self.failure_domain
 
+    @cached_property
+    def call_class(self) -> CallClass:
+        """The class of the call."""
+        objective_s = self.objective_at_s - self.arrived_s
+        return CallClass(self.rank, max(round(objective_s * _MS_PER_S), 0))
+
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
@@ -128,11 +155,15 @@
 
 @dataclass(slots=True)
 class PermitRecord:
-    """The broker's record of a permit in use."""
+    """The broker's record of a permit in use.
+
+    ``call_class`` is ``None`` for a permit of an earlier broker.
+    """
 
     backend_id: str
     requester: str
     granted_s: float
     expires_s: float
-    objective_s: float = 0
+    call_class: CallClass | None = None
     slowness_percent: float = 100.0
+    is_measurement: bool = False
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -41,6 +41,7 @@
         self._retry_limits = retry_limits
         self._budget: SlidingRetryBudget | None = None
         self._denied_count = 0
+        self._measurement_id = ''
 
     def install_backends(self, backend_states: Iterable[BackendState]) -> None:
         """Replace the backend servers."""
@@ -104,7 +105,7 @@
         A server with a rate limit counts as the slots that its rate keeps busy,
         and so does a cold one. At least one server must be usable.
         """
-        service_time_s = self.queue.typical_service_time_s(request)
+        service_time_s = self.queue.mean_service_time_s(request)
         usable_backends = self._usable_backends(now_s, cold_pace)
         attempts_per_s = float(0)
         for server in usable_backends:
@@ -130,20 +131,28 @@
 
         Returns ``None`` if the expected wait and service time let the call
         end before its deadline; if the request may be redirected, before its
-        latency objective.
+        latency objective. One call at a time is queued although its service
+        time seems too long, to measure that; see ``ServiceTimes``.
         """
         denial = self._denial_if_unusable(request, now_s, cold_pace)
         if denial is not None:
             return denial
         queue = self.queue
         wait_s = self.expected_wait_s(len(queue), request, now_s, cold_pace)
-        end_s = now_s + wait_s + queue.typical_service_time_s(request)
+        end_s = now_s + wait_s + queue.service_times.typical_s(request)
+        if self._must_measure(request, now_s, wait_s):
+            self._measurement_id = request.permit_request_id
+            return None
         if request.may_redirect and end_s > request.objective_at_s:
             return PermitDenial(request, DenialReason.OTHER_DOMAIN)
         if end_s > request.deadline_at_s:
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
 
+    def is_measurement(self, request: PermitRequest) -> bool:
+        """Return whether a request is queued to measure its service time."""
+        return request.permit_request_id == self._measurement_id
+
     def denial_for_queued(
         self,
         request: PermitRequest,
@@ -161,7 +170,6 @@
         if denial is not None:
             return denial
         waited_s = now_s - request.requested_s
-        typical_service_time_s = self.queue.typical_service_time_s(request)
         if request.may_redirect and waited_s > REDIRECT_AFTER_S:
             if self.queue.is_late(request, now_s, REDIRECT_FACTOR):
                 return PermitDenial(request, DenialReason.OTHER_DOMAIN)
@@ -171,13 +179,38 @@
             ):
                 return PermitDenial(request, DenialReason.OVERLOADED)
         wait_s = self.expected_wait_s(ahead, request, now_s, cold_pace)
-        if (
-            ahead
-            and now_s + wait_s + typical_service_time_s > request.deadline_at_s
-        ):
+        end_s = now_s + wait_s + self._assumed_service_time_s(request)
+        if ahead and end_s > request.deadline_at_s:
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
 
+    def _assumed_service_time_s(self, request: PermitRequest) -> float:
+        """Return the service time that a queued call needs at least."""
+        if self.is_measurement(request):
+            return 0
+        return self.queue.service_times.typical_s(request)
+
+    def _must_measure(
+        self, request: PermitRequest, now_s: float, wait_s: float
+    ) -> bool:
+        """Return whether a request should measure its service time.
+
+        Without that it would be denied or redirected, as all calls of its class
+        have been for a while, although it would not wait too long.
+        """
+        service_times = self.queue.service_times
+        start_s = now_s + wait_s
+        bound_s = request.deadline_at_s
+        if request.may_redirect:
+            bound_s = min(bound_s, request.objective_at_s)
+        is_refused = start_s + service_times.typical_s(request) > bound_s
+        return (
+            is_refused
+            and start_s < bound_s
+            and self._measurement_id not in self.queue
+            and service_times.must_measure(request, now_s)
+        )
+
     def _usable_backends(
         self, now_s: float, cold_pace: AttemptPace
     ) -> list[BackendState]:
--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -10,7 +10,8 @@
     MIN_SERVICE_TIME_SHARE,
     ON_TIME_FACTOR,
 )
-from turmericpost_core.grants.permits import PermitRequest
+from turmericpost_core.grants.permits import PermitRecord, PermitRequest
+from turmericpost_core.grants.service_times import ServiceTimes
 
 
 class RequestQueue:
@@ -24,7 +25,8 @@
 
     def __init__(self) -> None:
         self._requests: dict[str, PermitRequest] = {}
-        self._typical_service_time_s: float | None = None
+        self.service_times = ServiceTimes()
+        self._mean_service_time_s: float | None = None
         self._grant_interval_s: float | None = None
         self._last_grant_s: float | None = None
 
@@ -36,37 +38,43 @@
         """Return whether a request is queued."""
         return permit_request_id in self._requests
 
-    def typical_service_time_s(self, request: PermitRequest) -> float:
-        """Return the typical service time in seconds at normal speed.
+    def mean_service_time_s(self, request: PermitRequest) -> float:
+        """Return the mean service time in seconds of all calls of the pool.
 
         Before the first measurement it is estimated from the request's
         latency objective.
         """
-        if self._typical_service_time_s is None:
+        if self._mean_service_time_s is None:
             return _initial_service_time_s(
                 request.objective_at_s - request.arrived_s
             )
-        return self._typical_service_time_s
+        return self._mean_service_time_s
 
     def record_service_time(
-        self, service_time_s: float, objective_s: float
+        self, service_time_s: float, record: PermitRecord, now_s: float
     ) -> None:
-        """Add the service time of a call, scaled to normal speed, to the mean.
+        """Record the service time of a call, scaled to normal speed.
 
-        Service times below ``MIN_SERVICE_TIME_SHARE`` of the objective are
+        Of the mean, service times below ``MIN_SERVICE_TIME_SHARE`` of the objective are
         ignored. Longer ones than the objective count as the objective, so that
         calls keep being granted and their service times correct the mean.
         """
-        is_known = objective_s > 0
-        if (
-            not is_known
-            or service_time_s < MIN_SERVICE_TIME_SHARE * objective_s
-        ):
+        call_class = record.call_class
+        if call_class is None:
             return
-        if self._typical_service_time_s is None:
-            self._typical_service_time_s = _initial_service_time_s(objective_s)
-        self._typical_service_time_s += LATENCY_WEIGHT * (
-            min(service_time_s, objective_s) - self._typical_service_time_s
+        self.service_times.record(
+            call_class,
+            service_time_s,
+            now_s,
+            is_measurement=record.is_measurement,
+        )
+        objective_s = call_class.objective_s
+        if service_time_s < MIN_SERVICE_TIME_SHARE * objective_s:
+            return
+        if self._mean_service_time_s is None:
+            self._mean_service_time_s = _initial_service_time_s(objective_s)
+        self._mean_service_time_s += LATENCY_WEIGHT * (
+            min(service_time_s, objective_s) - self._mean_service_time_s
         )
 
     def record_grant(self, now_s: float) -> None:
@@ -132,7 +140,7 @@
         typical service time.
         """
         return (
-            now_s + factor * self.typical_service_time_s(request)
+            now_s + factor * self.service_times.typical_s(request)
             > request.objective_at_s
         )
 
