End an outage of the store with the read of another VM

What callers could see: requests to a server that has left, if the reader of a domain is lost within seconds after an outage of the store. Cause: the VM that takes over has last failed to read during the outage. Its first read after it, perhaps seconds later, began the time for registering again. Evidence: test_outage_ends_with_the_read_of_another_vm; no run by processes. Change: the age of a read that another VM of the domain states ends the outage for this VM, too, if the read began after its last failure. Why it works: such a read proves that the store was there, at the earliest time that this VM can know of.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -153,6 +153,7 @@
         is_same_domain = vm.failure_domain == self._view.own.failure_domain
         if is_same_domain:
             self._read_ages_s[vm.name] = (state_version.read_age_s, now_s)
+            self.reader.peer_has_read(now_s - state_version.read_age_s)
             self._operator_offsets[vm.name] = state_version.operator_offset
         if not self._is_newer(state_version):
             self._newer_since_s.pop(vm.failure_domain, None)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -105,6 +105,14 @@
         self._is_running = False
         self._store.stop_watching()
 
+    def peer_has_read(self, read_s: float) -> None:
+        """Record when another VM of the domain read the registry.
+
+        It proves that an outage has ended, perhaps long before this VM reads again.
+        """
+        if self._is_store_away and read_s > self._failed_s:
+            self._outage_ended(read_s)
+
     async def _follow_backends(self) -> None:
         while self._is_running:
             must_read = self._callbacks.must_catch_up(StatePart.REGISTRY)
@@ -312,27 +320,27 @@
     def _backend_read_succeeded(self, begun_s: float) -> None:
         """Reset the failure count after a successful read.
 
-        After an outage of the store, expired registrations are kept for a while
-        so that backend servers can register again. A single missing response
-        is no outage: the connection may have gone silent.
+        A single missing response was no outage: the connection may have gone
+        silent.
         """
         if not self._failures:
             return
-        was_away = self._is_store_away
         log_event(
             LogEvent.STORE_REACHABLE,
             failures=self._failures,
             since_first_failure_s=round(begun_s - self._first_failed_s, 3),
             since_last_failure_s=round(begun_s - self._failed_s, 3),
-            was_away=was_away,
+            was_away=self._is_store_away,
         )
         self._failures = 0
-        self._is_store_away = False
         self._store.stop_watching()
-        if was_away:
-            self._state.directory.start_reregistration_grace(
-                self._clock.monotonic_s()
-            )
+        if self._is_store_away:
+            self._outage_ended(self._clock.monotonic_s())
+
+    def _outage_ended(self, ended_s: float) -> None:
+        """Give servers time to register again after the end of an outage."""
+        self._is_store_away = False
+        self._state.directory.start_reregistration_grace(ended_s)
 
     def _log_if_incomplete(
         self,
--- a/packages/turmericpost-entry/tests/fleet/test_store_outage.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_outage.py
@@ -101,23 +101,24 @@
         self.reactor = Clock()
         self.store = OutageStore(self.reactor)
         self.state = FleetState()
+        self.is_reader = True
         for number in range(SERVERS):
             self.store.register(number)
-        reader = StoreReader(
+        self.reader = StoreReader(
             self.reactor,
             ReactorClock(self.reactor),
             self.store,
             self.state,
             new_read_schedule(drain_bound_s, 2),
             ReaderCallbacks(
-                lambda: True,
+                lambda: self.is_reader,
                 lambda: is_first,
                 lambda _part: False,
                 lambda _part: None,
                 lambda _part, _begun_s: None,
             ),
         )
-        reader.start()
+        self.reader.start()
         self.advance(CALM_S)
 
     def fail(self, failure: StoreErrorKind, duration_s: float) -> None:
@@ -160,6 +161,30 @@
                 with self.subTest(failure=failure, bound_s=drain_bound_s):
                     self.assertLess(max(late_s), drain_bound_s)
 
+    # Guards against requests to a server that has left, since a VM that takes over
+    # long after an outage lets servers register again only then.
+    def test_outage_ends_with_the_read_of_another_vm(self) -> None:
+        outage = Outage(is_first=False)
+        outage.fail(StoreErrorKind.NO_RESPONSE, CALM_S)
+        outage.is_reader = False
+        outage.advance(1)
+        outage.reader.peer_has_read(outage.reactor.seconds())
+        outage.advance(STABLE_S - 1)
+        outage.store.remove(1)
+        outage.is_reader = True
+        self.assertLess(outage.used_for_s(1), DRAIN_BOUND_S)
+
+    # Guards against a read of another VM before the outage that ends it.
+    def test_earlier_read_of_another_vm_does_not_end_an_outage(self) -> None:
+        outage = Outage(is_first=True)
+        outage.store.failure = StoreErrorKind.OVERLOADED
+        outage.advance(CALM_S)
+        outage.reader.peer_has_read(outage.reactor.seconds() - CALM_S)
+        outage.store.remove(1)
+        outage.store.failure = None
+        outage.advance(REREGISTRATION_S)
+        self.assertIn('b1', outage.state.directory.backends)
+
     # Guards against live servers that are dropped because they need two seconds
     # to register again.
     def test_server_that_registers_again_in_time_is_kept(self) -> None:
