Count a measurement of service times from when it is queued

Cause: the interval between two measurements began with a grant. In a pool without room one refused call after the other would have waited to its deadline in vain. Change: the interval begins and doubles when the call is queued. A class without an objective has no part in the mean, as before the classes.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -353,11 +353,6 @@
         elif not retry_budget.try_spend(now_s, self._own_share(request.pool)):
             return PermitDenial(request, DenialReason.RETRY_BUDGET)
         server.record_attempt_start(now_s, is_retry=request.is_retry)
-        is_measurement = pool.is_measurement(request)
-        if is_measurement:
-            pool.queue.service_times.begin_measurement(
-                request.call_class, now_s
-            )
         grant = PermitGrant(
             request,
             server.backend,
@@ -374,7 +369,7 @@
             request.deadline_at_s,
             request.call_class,
             server.slowness_percent,
-            is_measurement,
+            pool.is_measurement(request),
         )
         self._permit_table.add_grant(grant, record)
         terms = self._terms(request.pool)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -142,6 +142,7 @@
         end_s = now_s + wait_s + queue.service_times.typical_s(request)
         if self._must_measure(request, now_s, wait_s):
             self._measurement_id = request.permit_request_id
+            queue.service_times.begin_measurement(request.call_class, now_s)
             return None
         if request.may_redirect and end_s > request.objective_at_s:
             return PermitDenial(request, DenialReason.OTHER_DOMAIN)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -55,12 +55,12 @@
     ) -> None:
         """Record the service time of a call, scaled to normal speed.
 
-        Of the mean, service times below ``MIN_SERVICE_TIME_SHARE`` of the objective are
-        ignored. Longer ones than the objective count as the objective, so that
+        For the mean, service times below ``MIN_SERVICE_TIME_SHARE`` of the
+        objective are ignored. Longer ones than the objective count as the objective, so that
         calls keep being granted and their service times correct the mean.
         """
         call_class = record.call_class
-        if call_class is None:
+        if call_class is None or not call_class.objective_ms:
             return
         self.service_times.record(
             call_class,
--- a/packages/turmericpost-core/src/turmericpost_core/grants/service_times.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/service_times.py
@@ -18,7 +18,7 @@
 """Limit of that interval, which doubles until a measurement succeeds."""
 
 MEASUREMENT_WEIGHT = 0.5
-"""Weight of a call that was granted against the estimate of its class."""
+"""Weight of a call that was let in against the estimate of its class."""
 
 MAX_CALL_CLASSES = 256
 """Number of classes with an estimate; VMs may request permits for any."""
@@ -41,7 +41,7 @@
     """Estimates of the service time, which refuse calls that would be late.
 
     Only calls that are granted can correct an estimate. So a call that it refuses
-    is granted at intervals in order to measure the class.
+    is let in at intervals in order to measure the class.
     """
 
     def __init__(self) -> None:
@@ -67,7 +67,7 @@
         """Record the service time of a successful call at normal speed.
 
         Times below ``MIN_SERVICE_TIME_SHARE`` of the objective are ignored
-        unless the call was granted to measure its class. Longer ones than the
+        unless the call was let in to measure its class. Longer ones than the
         objective count as the objective.
         """
         estimate = self._estimate(call_class, now_s)
@@ -83,7 +83,7 @@
         estimate.typical_s += weight * (counted_s - estimate.typical_s)
 
     def begin_measurement(self, call_class: CallClass, now_s: float) -> None:
-        """Record that a call was granted against the estimate of its class."""
+        """Record that a call is let in against the estimate of its class."""
         estimate = self._estimate(call_class, now_s)
         estimate.measured_s = now_s
         estimate.interval_s = min(
@@ -91,7 +91,7 @@
         )
 
     def must_measure(self, request: PermitRequest, now_s: float) -> bool:
-        """Return whether a call that the estimate refuses should be granted."""
+        """Return whether a call that the estimate refuses should be let in."""
         if request.is_retry:
             return False
         estimate = self._estimate(request.call_class, now_s)
