Let a measurement of service times hardly wait

Cause: a call that was let in to measure its class waited up to its deadline if no server had room. In overload, calls were let in that the queue alone had refused, and the interval grew to 16 s without any measurement. Change: only what the estimate alone refuses is let in; it comes first in the queue, waits for a tenth of its objective at most, and doubles the interval if it gets a server. Conclusion: refused calls are refused at once, but for one at intervals.

--- a/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/broker.py
@@ -316,7 +316,7 @@
         pool = self._pool(request.pool)
         typical_service_time_s = pool.queue.service_times.typical_s(request)
         is_too_long = now_s + typical_service_time_s > request.deadline_at_s
-        if is_too_long and not pool.is_measurement(request):
+        if is_too_long and not pool.queue.is_measurement(request):
             return PermitDenial(
                 request, DenialReason.DEADLINE, typical_service_time_s
             )
@@ -353,6 +353,11 @@
         elif not retry_budget.try_spend(now_s, self._own_share(request.pool)):
             return PermitDenial(request, DenialReason.RETRY_BUDGET)
         server.record_attempt_start(now_s, is_retry=request.is_retry)
+        is_measurement = pool.queue.is_measurement(request)
+        if is_measurement:
+            pool.queue.service_times.measurement_granted(
+                request.call_class, now_s
+            )
         grant = PermitGrant(
             request,
             server.backend,
@@ -369,7 +374,7 @@
             request.deadline_at_s,
             request.call_class,
             server.slowness_percent,
-            pool.is_measurement(request),
+            is_measurement,
         )
         self._permit_table.add_grant(grant, record)
         terms = self._terms(request.pool)
--- a/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/pool_state.py
@@ -26,6 +26,11 @@
 """Wait after which a late request is redirected: one decision interval."""
 
 
+MEASUREMENT_WAIT_SHARE = 0.1
+"""Longest wait of a call that seems to take too long, as a share of its latency
+objective. It is let in to measure its service time, not to be served late.
+"""
+
 RETURN_SPREAD_S = 1.0
 """Seconds over which callers come back after the end of a pause."""
 
@@ -41,7 +46,6 @@
         self._retry_limits = retry_limits
         self._budget: SlidingRetryBudget | None = None
         self._denied_count = 0
-        self._measurement_id = ''
 
     def install_backends(self, backend_states: Iterable[BackendState]) -> None:
         """Replace the backend servers."""
@@ -141,8 +145,7 @@
         wait_s = self.expected_wait_s(len(queue), request, now_s, cold_pace)
         end_s = now_s + wait_s + queue.service_times.typical_s(request)
         if self._must_measure(request, now_s, wait_s):
-            self._measurement_id = request.permit_request_id
-            queue.service_times.begin_measurement(request.call_class, now_s)
+            queue.begin_measurement(request, now_s)
             return None
         if request.may_redirect and end_s > request.objective_at_s:
             return PermitDenial(request, DenialReason.OTHER_DOMAIN)
@@ -150,10 +153,6 @@
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
 
-    def is_measurement(self, request: PermitRequest) -> bool:
-        """Return whether a request is queued to measure its service time."""
-        return request.permit_request_id == self._measurement_id
-
     def denial_for_queued(
         self,
         request: PermitRequest,
@@ -180,37 +179,37 @@
             ):
                 return PermitDenial(request, DenialReason.OVERLOADED)
         wait_s = self.expected_wait_s(ahead, request, now_s, cold_pace)
-        end_s = now_s + wait_s + self._assumed_service_time_s(request)
-        if ahead and end_s > request.deadline_at_s:
+        if self._is_hopeless(request, ahead, wait_s, now_s):
             return PermitDenial(request, DenialReason.OVERLOADED, wait_s)
         return None
 
-    def _assumed_service_time_s(self, request: PermitRequest) -> float:
-        """Return the service time that a queued call needs at least."""
-        if self.is_measurement(request):
-            return 0
-        return self.queue.service_times.typical_s(request)
-
     def _must_measure(
         self, request: PermitRequest, now_s: float, wait_s: float
     ) -> bool:
         """Return whether a request should measure its service time.
 
-        Without that it would be denied or redirected, as all calls of its class
-        have been for a while, although it would not wait too long.
+        Without that the estimate alone would deny or redirect it.
         """
-        service_times = self.queue.service_times
-        start_s = now_s + wait_s
+        queue = self.queue
         bound_s = request.deadline_at_s
         if request.may_redirect:
             bound_s = min(bound_s, request.objective_at_s)
-        is_refused = start_s + service_times.typical_s(request) > bound_s
-        return (
-            is_refused
-            and start_s < bound_s
-            and self._measurement_id not in self.queue
-            and service_times.must_measure(request, now_s)
-        )
+        is_refused = now_s + queue.service_times.typical_s(request) > bound_s
+        if not is_refused or now_s + wait_s > bound_s:
+            return False
+        is_due = queue.service_times.must_measure(request, now_s)
+        return is_due and not queue.has_measurement
+
+    def _is_hopeless(
+        self, request: PermitRequest, ahead: int, wait_s: float, now_s: float
+    ) -> bool:
+        """Return whether a queued request is not expected to end in time."""
+        if self.queue.is_measurement(request):
+            max_wait_s = MEASUREMENT_WAIT_SHARE * request.call_class.objective_s
+            return now_s - request.requested_s > max_wait_s
+        service_time_s = self.queue.service_times.typical_s(request)
+        end_s = now_s + wait_s + service_time_s
+        return bool(ahead) and end_s > request.deadline_at_s
 
     def _usable_backends(
         self, now_s: float, cold_pace: AttemptPace
--- a/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/request_queue.py
@@ -20,12 +20,14 @@
     Requests that can still meet their latency objective come first, then
     those of more urgent (lower) rank, then older ones. Requests that may not
     wait come after all others: their calls can go to another failure domain
-    or already have an attempt in flight.
+    or already have an attempt in flight. A request that measures its service
+    time comes before all, since it may hardly wait.
     """
 
     def __init__(self) -> None:
         self._requests: dict[str, PermitRequest] = {}
         self.service_times = ServiceTimes()
+        self._measurement_id = ''
         self._mean_service_time_s: float | None = None
         self._grant_interval_s: float | None = None
         self._last_grant_s: float | None = None
@@ -116,11 +118,26 @@
         """Remove a request; return whether it was queued."""
         return self._requests.pop(permit_request_id, None) is not None
 
+    @property
+    def has_measurement(self) -> bool:
+        """Whether a request that measures its service time is queued."""
+        return self._measurement_id in self._requests
+
+    def begin_measurement(self, request: PermitRequest, now_s: float) -> None:
+        """Let a request, which is queued next, measure its service time."""
+        self._measurement_id = request.permit_request_id
+        self.service_times.begin_measurement(request.call_class, now_s)
+
+    def is_measurement(self, request: PermitRequest) -> bool:
+        """Return whether a request measures its service time."""
+        return request.permit_request_id == self._measurement_id
+
     def in_order(self, now_s: float) -> Iterator[PermitRequest]:
         """Yield the queued requests in the order in which they are served."""
         yield from sorted(
             self._requests.values(),
             key=lambda request: (
+                not self.is_measurement(request),
                 not request.may_wait,
                 self.is_late(request, now_s),
                 request.rank,
--- a/packages/turmericpost-core/src/turmericpost_core/grants/service_times.py
+++ b/packages/turmericpost-core/src/turmericpost_core/grants/service_times.py
@@ -84,8 +84,11 @@
 
     def begin_measurement(self, call_class: CallClass, now_s: float) -> None:
         """Record that a call is let in against the estimate of its class."""
+        self._estimate(call_class, now_s).measured_s = now_s
+
+    def measurement_granted(self, call_class: CallClass, now_s: float) -> None:
+        """Record that such a call has got a server."""
         estimate = self._estimate(call_class, now_s)
-        estimate.measured_s = now_s
         estimate.interval_s = min(
             2 * estimate.interval_s, MAX_MEASUREMENT_INTERVAL_S
         )
--- a/packages/turmericpost-core/tests/grants/test_service_times.py
+++ b/packages/turmericpost-core/tests/grants/test_service_times.py
@@ -7,7 +7,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from tests.grants.samples import new_broker, new_request, reported_load
+from tests.grants.samples import (
+    OBJECTIVE_S,
+    new_broker,
+    new_request,
+    reported_load,
+)
+from tests.grants.test_broker import denials_in
+from turmericpost_core.grants.limits import INITIAL_SERVICE_TIME_SHARE
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
@@ -16,6 +23,7 @@
     PermitGrant,
     ProbeRequest,
 )
+from turmericpost_core.grants.service_times import MEASUREMENT_INTERVAL_S
 
 SERVERS = 2
 STEP_S = 0.01
@@ -213,3 +221,24 @@
         simulation.run(4 * WATCHED_S)
         self.assertLess(stream.ends['late'], 8, stream.ends)
         self.assertEqual(stream.ends['served'], 0)
+
+    # Guards against callers that are held nearly to their deadlines to measure a
+    # pool that has no room, and against more than one of them at a time.
+    def test_call_that_measures_hardly_waits(self) -> None:
+        broker = new_broker(1)
+        now_s = float(0)
+        requests = []
+        for number in range(4):
+            deadline_s = INITIAL_SERVICE_TIME_SHARE * OBJECTIVE_S / 2
+            requests.append(
+                new_request(number, now_s, deadline_at_s=now_s + deadline_s)
+            )
+            now_s += MEASUREMENT_INTERVAL_S / 2 if number < 2 else 0
+        first, second, third, fourth = requests
+        self.assertTrue(denials_in(broker.request(first, 0)))
+        self.assertTrue(denials_in(broker.request(second, second.arrived_s)))
+        self.assertFalse(denials_in(broker.request(third, now_s)))
+        self.assertTrue(denials_in(broker.request(fourth, now_s)))
+        now_s += OBJECTIVE_S / 8
+        (denial,) = denials_in(broker.decide(now_s))
+        self.assertIs(denial.request, third)
--- a/packages/turmericpost-entry/src/turmericpost/gateway/grant_log.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/grant_log.py
@@ -11,7 +11,11 @@
 from turmericpost_core.clock import Clock
 from turmericpost_core.grants.backend_state import BackendState
 from turmericpost_core.grants.grant_observer import DenialBasis, GrantTerms
-from turmericpost_core.grants.permits import PermitDenial, PermitGrant
+from turmericpost_core.grants.permits import (
+    DenialReason,
+    PermitDenial,
+    PermitGrant,
+)
 from turmericpost_core.membership.domain_view import DomainView
 
 COLD_PERMIT_LINES_PER_S = 50
@@ -64,9 +68,10 @@
     def request_denied(
         self, denial: PermitDenial, basis: DenialBasis, now_s: float
     ) -> None:
-        """Count a denial, and log some."""
+        """Count a denial; log some of those that are no referrals."""
         self._metrics.permit_denials[denial.reason] += 1
-        if self._limiters['denials'].allow_line():
+        is_referral = denial.reason is DenialReason.OTHER_DOMAIN
+        if not is_referral and self._limiters['denials'].allow_line():
             _log_denial(denial, basis, now_s)
 
     def found_cold(self, server: BackendState, now_s: float) -> None:
