Test responses to reads that leave out all records

Measured: the test holds; the decoder before returned the end, 9, as the next offset (by reading; it takes no offset, so the test can't be loaded there). Conclusion: no product code changed.

--- a/packages/turmericpost-entry/tests/platform/test_backlog.py
+++ b/packages/turmericpost-entry/tests/platform/test_backlog.py
@@ -10,7 +10,9 @@
 from tests.platform.test_store_client import StoreHarness
 from turmericpost.fleet.store_reader import ReaderCallbacks, StoreReader
 from turmericpost.platform.store_client import StoreClient
+from turmericpost.platform.store_codec import decode_keyed_read
 from turmericpost.reactor_clock import ReactorClock
+from turmericpost.store.record_log import LogBatch
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
@@ -128,3 +130,11 @@
             lambda state: len(state.directory.backends) == SERVERS - 1
         )
         self.assertLess(read_bytes, backlog_bytes / 3)
+
+    # Guards against records that are never read, since a response left out even
+    # the first one and the next read goes on from the end of the store.
+    def test_response_without_records_skips_none(self) -> None:
+        read = decode_keyed_read(3, LogBatch((), end_offset=9))
+        self.assertEqual((read.next_offset, read.end_offset), (3, 9))
+        rewound = decode_keyed_read(3, LogBatch((), end_offset=2))
+        self.assertEqual(rewound.next_offset, 2)
