--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -115,13 +115,29 @@
         for writer in tuple(door['writers']):
             abort(writer)
 
+    def silence_door(self, name):
+        """Never respond there, as behind a partition without resets."""
+        self.doors[name]['is_silent'] = True
+
+    def end_silence(self, name):
+        """Serve new connections; those from before stay silent for good."""
+        door = self.doors[name]
+        door['is_silent'] = False
+        door['lost'] = set(door['writers'])
+
     async def _serve(self, name, reader, writer):
-        self.doors[name]['writers'].add(writer)
+        door = self.doors[name]
+        door['writers'].add(writer)
+        if door.get('is_silent'):
+            door.setdefault('lost', set()).add(writer)
         try:
             while True:
                 request = await read_head(reader)
                 if request is None:
                     break
+                if door.get('is_silent') or writer in door.get('lost', ()):
+                    await reader.read()
+                    break
                 body = await read_body(reader, request[1])
                 status, answer = await self._handle(name, request[0], body)
                 writer.write(head(f'HTTP/1.1 {status} X', [
@@ -132,7 +148,7 @@
                 asyncio.CancelledError):
             pass
         finally:
-            self.doors[name]['writers'].discard(writer)
+            door['writers'].discard(writer)
             abort(writer)
 
     async def _handle(self, name, start, body):
