--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -752,7 +752,11 @@
 
 
 def run(main, limit_s=115):
-    """Run a case and exit with its result; 2 if it could not run."""
+    """Run a case and exit with its result; 2 if it could not run.
+
+    A signal to end leaves no process behind, either.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         sys.exit(asyncio.run(asyncio.wait_for(main(), limit_s)))
     except Exception as error:  # the case could not run
