--- a/review/15/case.py
+++ b/review/15/case.py
@@ -19,6 +19,7 @@
 
 DRAIN_S = 2.0
 CUT_S = (2.5, 4.0)
+TARGETS = 8
 ROUNDS = 12
 CALLS_PER_S = 60
 
@@ -46,7 +47,7 @@
     await world.open()
     world.configure(7, [service('fenetres')],
                     [route('slot-lookup', 'fenetres')])
-    for index in range(2):
+    for index in range(TARGETS):
         await world.add_target(f'i-{index}', 'fenetres', 'mtl-est',
                                work_s=0.05)
     world.start_vms()
@@ -83,8 +84,8 @@
                      f'{over} late')
         print(lines[-1], flush=True)
         leaver.stop()
-        await world.add_target(f'i-{number + 2}', 'fenetres', 'mtl-est',
-                               work_s=0.05)
+        await world.add_target(f'i-{number + TARGETS}', 'fenetres',
+                               'mtl-est', work_s=0.05, cold_s=3.0)
         await asyncio.sleep(0.4)
     await clients
     world.note(f'statuses: {Counter(str(c["status"]) for c in world.calls)}')
