Stand-in store: copies, eras, and reads past the end

The users' pages say that the store may return from a copy some seconds old: offsets go back and are given out again, a read from one that it doesn't have gets 410, and Store-Era, in all answers, rises by one. The stand-in did none of that: it had no era, and a read past the end waited. restore() sets it back to an earlier copy().

--- a/packages/turmericpost-standins/src/turmericpost_standins/store/service.py
+++ b/packages/turmericpost-standins/src/turmericpost_standins/store/service.py
@@ -5,6 +5,7 @@
 import json
 from base64 import b64encode
 from collections import deque
+from copy import deepcopy
 from dataclasses import dataclass, field
 from struct import Struct
 from typing import Any
@@ -35,6 +36,7 @@
 _INSUFFICIENT_STORAGE = 507
 _READ_ONLY_TOPICS = frozenset(('keyed.op', 'keyed.servers'))
 _KEYED_PREFIX = 'keyed.'
+_ERA_HEADER = b'store-era'
 _JOIN_RATE_COST = 0.1  # ten joins count as one write of the rate limit
 
 
@@ -105,6 +107,14 @@
     timer: Any
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store holds at a time, to which it can be set back later."""
+
+    partitions: dict[tuple[str, int], Partition]
+    groups: dict[str, ConsumerGroup]
+
+
 class MalformedCallError(Exception):
     """Raised for a request that the store can't parse."""
 
@@ -113,12 +123,14 @@
     """Serves the store's operations, ``/-/log-append`` and the others.
 
     ``received_operations`` lists the operation of each request, in order.
+    Every response states ``era``, unless it is ``None``.
     """
 
     isLeaf = True  # noqa: WPS115
 
     def __init__(self, reactor: Any, limits: StoreLimits | None = None) -> None:
         super().__init__()
+        self.era: int | None = 1
         self.faults = StoreFaults()
         self.limits = limits or StoreLimits()
         self.received_operations: list[str] = []
@@ -161,6 +173,23 @@
             topic, bytes((len(encoded_key),)) + encoded_key + record_value
         )
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds."""
+        return StoreCopy(deepcopy(self._partitions), deepcopy(self.groups))
+
+    def restore(self, earlier: StoreCopy) -> None:
+        """Lose all that was written since a copy was made, and raise the era.
+
+        Connections on which reads wait are closed.
+        """
+        for waiting_read in tuple(self._waiting_reads):
+            waiting_read.request.transport.abortConnection()
+        self.silence_waiting_reads()
+        self._partitions = deepcopy(earlier.partitions)
+        self.groups = deepcopy(earlier.groups)
+        if self.era is not None:
+            self.era += 1
+
     def compact(self, topic: str) -> None:
         """Drop all records of a topic but keep the latest value of each key.
 
@@ -289,7 +318,7 @@
         offset = _int_argument(request, 'From')
         wait_s = (_optional_int_argument(request, 'WaitMs') or 0) / _MS_PER_S
         max_kb = _optional_int_argument(request, 'MaxKb') or _BYTES_PER_KB
-        if offset < partition.first_offset:
+        if offset < partition.first_offset or offset > partition.end_offset:
             self._respond(request, _GONE, {'First': partition.first_offset})
         elif offset >= partition.end_offset and wait_s:
             timer = self._reactor.callLater(
@@ -308,7 +337,7 @@
                 ),
             )
         else:
-            _send_body(
+            self._send_body(
                 request, _encode_page(partition, offset, max_kb * _BYTES_PER_KB)
             )
 
@@ -417,7 +446,7 @@
         body = _encode_page(
             waiting_read.partition, waiting_read.offset, waiting_read.max_bytes
         )
-        _send_body(waiting_read.request, body)
+        self._send_body(waiting_read.request, body)
 
     def _discard_closed_read(self, _failure: object, request: Request) -> None:
         for waiting_read in tuple(self._waiting_reads):
@@ -434,17 +463,22 @@
     ) -> None:
         if request.channel is None or request.finished:
             return
+        self._state_era(request)
         request.setResponseCode(status)
         request.setHeader(b'content-type', b'application/json')
         request.write(json.dumps(body).encode())
         request.finish()
 
+    def _send_body(self, request: Request, body: bytes) -> None:
+        if request.channel is None or request.finished:
+            return
+        self._state_era(request)
+        request.write(body)
+        request.finish()
 
-def _send_body(request: Request, body: bytes) -> None:
-    if request.channel is None or request.finished:
-        return
-    request.write(body)
-    request.finish()
+    def _state_era(self, request: Request) -> None:
+        if self.era is not None:
+            request.setHeader(_ERA_HEADER, b'%d' % self.era)
 
 
 def _encode_page(partition: Partition, offset: int, max_bytes: int) -> bytes:
