Log the era of the store, reads past its end, and states that conflict

Gauge turmericpost_store_era. No decision changes. The era is read in every response, also refusals; a missing or invalid one says nothing.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state_lag.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state_lag.py
@@ -18,6 +18,7 @@
 
 
 BUSY = 'busy'
+CONFLICT = 'conflict'
 EXCEPTION = 'exception'
 MISMATCH = 'mismatch'
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
@@ -10,9 +10,10 @@
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.observe.repeated_failures import RepeatedFailures
 from turmericpost_core.clock import Clock
-from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.fleet.state import FleetState, FleetUpdate
 from turmericpost_core.fleet.state_lag import (
     BUSY,
+    CONFLICT,
     EXCEPTION,
     MISMATCH,
     StatedVersion,
@@ -105,6 +106,29 @@
                 **details,
             )
 
+    def update_received(
+        self, way: StateWay, vm_name: str, update: FleetUpdate
+    ) -> None:
+        """Log an update with another configuration at the same position.
+
+        That cannot be while the store keeps what it has acknowledged.
+        """
+        own = self._state.versions
+        is_same_position = update.operator_offset == own.operator_offset
+        if not is_same_position or update.config_version == own.config:
+            return
+        left_out = self._logged_failures.record((way, CONFLICT))
+        if left_out is not None:
+            log_event(
+                LogEvent.UPDATE_CONFLICTS,
+                way=way.value,
+                vm=vm_name,
+                operator_offset=own.operator_offset,
+                config=own.config,
+                stated_config=update.config_version,
+                left_out=left_out,
+            )
+
     def report(self) -> None:
         """Log each part that has been behind for too long or has caught up."""
         now_s = self._clock.monotonic_s()
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -11,6 +11,7 @@
 from turmericpost.fleet.store_reader import ReaderCallbacks, StoreReader
 from turmericpost.fleet.update_codec import decode_update
 from turmericpost.fleet.update_stream import UpdateFetcher
+from turmericpost.observe.events import LogEvent, log_event
 from turmericpost_core.clock import Clock
 from turmericpost_core.fleet.directory import UpdateOutcome
 from turmericpost_core.fleet.state import (
@@ -97,6 +98,7 @@
         self._view = view
         self._schedule = schedule
         self._on_change = on_change
+        self.store_era: int | None = None
         self._fetcher = UpdateFetcher(
             reactor,
             self._apply_update,
@@ -122,6 +124,17 @@
             next_offset=self.state.directory.resume_offset,
         )
 
+    def era_stated(self, era: int) -> None:
+        """Log a change of the store's era."""
+        was = self.store_era
+        if was is not None and era <= was:
+            return
+        self.store_era = era
+        if was is not None:
+            log_event(
+                LogEvent.STORE_ERA_CHANGED, was=was, era=era, source='store'
+            )
+
     def is_reader(self) -> bool:
         """Return whether this VM should read the store now.
 
@@ -181,7 +194,9 @@
             )
             return
         versions_before = self.state.versions
-        outcome = self.state.apply_update(decoded.unwrap())
+        update = decoded.unwrap()
+        self.monitor.update_received(StateWay.PUSH, sender, update)
+        outcome = self.state.apply_update(update)
         if outcome is UpdateOutcome.MISMATCH:
             self.monitor.failed(StateWay.PUSH, MISMATCH, vm=sender)
         if self._has_changed(versions_before, outcome):
@@ -300,6 +315,7 @@
         Fetches a full update if a partial one does not match the state.
         """
         versions_before = self.state.versions
+        self.monitor.update_received(StateWay.FETCH, vm.name, update)
         outcome = self.state.apply_update(update)
         if self._has_changed(versions_before, outcome):
             self._state_changed(vm.name)
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -73,6 +73,13 @@
 class FleetStore(Protocol):
     """Interface to the platform's store, as entry VMs use it."""
 
+    def on_era(self, listener: Callable[[int], None]) -> None:
+        """Call ``listener`` with the era of the store in each response.
+
+        The era rises when the store returns from an older copy. Responses that
+        do not state it are left out.
+        """
+
     async def list_backends(self) -> Result[Registrations, StoreError]:
         """Return the latest registration of every backend server."""
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -260,7 +260,8 @@
         """
         if error.kind is StoreErrorKind.EXPIRED:
             self._needs_operator_listing = True
-            log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
+            offset = self._state.operator_offset
+            self._log_expired(StatePart.OPERATOR, offset, error)
             return _IDLE_CHECK_S
         self._operator_failures += 1
         is_silent = error.kind is StoreErrorKind.NO_RESPONSE
@@ -289,7 +290,8 @@
     def _backend_read_failed(self, error: StoreError) -> None:
         if error.kind is StoreErrorKind.EXPIRED:
             self._needs_backend_listing = True
-            log_event(LogEvent.STORE_EXPIRED, detail=error.detail)
+            offset = self._state.directory.next_offset
+            self._log_expired(StatePart.REGISTRY, offset, error)
             return
         self._failures += 1
         is_silent = error.kind is StoreErrorKind.NO_RESPONSE
@@ -358,6 +360,22 @@
                 read_s=round(self._clock.monotonic_s() - begun_s, 3),
             )
 
+    def _log_expired(
+        self, part: StatePart, offset: int, error: StoreError
+    ) -> None:
+        """Log a read that the store has no records for.
+
+        They have been deleted, or the read began after the end of the store.
+        """
+        log_event(
+            LogEvent.STORE_EXPIRED,
+            part=part.value,
+            wanted=offset,
+            earliest=error.earliest_offset,
+            is_past_end=offset > error.earliest_offset,
+            detail=error.detail,
+        )
+
     def _log_invalid(self, invalid: tuple[InvalidRecord, ...]) -> None:
         """Count invalid records, and log the first one of each key.
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -180,6 +180,7 @@
             is_seed_vm=self._is_seed_vm,
         )
         self.state = self.state_sync.state
+        self._store.on_era(self.state_sync.era_stated)
         self.peers = PeerProtocol(
             self.clock,
             self.view,
@@ -322,6 +323,7 @@
             LogEvent.KNOWLEDGE_CHANGED,
             source=source,
             config=None if config is None else config.version,
+            store_era=self.state_sync.store_era,
             operator_offset=state.operator_offset,
             backends_version=state.directory.version,
             usable=len(backends),
@@ -429,10 +431,12 @@
     def _gauges(self) -> dict[str, float]:
         state_version = self.state_sync.state_version()
         config = self.state.config
+        era = self.state_sync.store_era
         return {
             'in_flight': len(self.ingress.in_flight),
             'store_read_age_s': state_version.read_age_s,
             'config_version': 0 if config is None else config.version,
+            'store_era': -1 if era is None else era,
             'invalid_records': self.state_sync.reader.invalid_count,
             'backends': len(self.state.directory.backends),
             'probes': self.call_path.prober.probes_sent,
--- a/packages/turmericpost-entry/src/turmericpost/http1/heads.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/heads.py
@@ -92,7 +92,9 @@
         )
 
 
-def first_field(headers: Headers, name: bytes) -> bytes | None:
+def first_field(
+    headers: Iterable[tuple[bytes, bytes]], name: bytes
+) -> bytes | None:
     """Return the value of the first field with a name, ``None`` if missing."""
     for field_name, text in headers:
         if field_name == name:
--- a/packages/turmericpost-entry/src/turmericpost/http1/serial_http_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/http1/serial_http_client.py
@@ -18,6 +18,7 @@
     HOST,
     Headers,
     ResponseHead,
+    first_field,
     render_request,
 )
 from turmericpost_core.outcome.ledger import AttemptEnd
@@ -36,10 +37,18 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """Status and complete body of a response."""
+    """Status, complete body and header fields of a response.
+
+    The names of fields are in lower case.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def first(self, name: bytes) -> bytes | None:
+        """Return the first field value for a name, ``None`` if missing."""
+        return first_field(self.headers, name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +141,7 @@
         self.connection: BackendConnection | None = None
         self._wire = wire
         self._status = 0
+        self._headers: Headers = []
         self._parts: list[bytes] = []
 
     def connected(self, connection: BackendConnection) -> None:
@@ -162,8 +172,9 @@
         return False
 
     def response_head_received(self, head: ResponseHead) -> None:
-        """Store the status of the response."""
+        """Store the status and header fields of the response."""
         self._status = head.status
+        self._headers = head.headers
 
     def response_body_received(self, body: bytes) -> None:
         """Store a part of the response body."""
@@ -171,7 +182,8 @@
 
     def response_complete(self) -> None:
         """End the request with the complete response."""
-        self._end(Ok(HttpResponse(self._status, b''.join(self._parts))))
+        body = b''.join(self._parts)
+        self._end(Ok(HttpResponse(self._status, body, tuple(self._headers))))
 
     def response_failed(self, end: AttemptEnd) -> None:
         """End the request without a complete response."""
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -129,6 +129,11 @@
         Level.INFO,
         'servers whose entries are still missing are no longer used',
     )
+    STORE_ERA_CHANGED = (
+        5011,
+        Level.WARNING,
+        'the store has returned from a copy; records after that copy are lost',
+    )
     KNOWLEDGE_CHANGED = (
         5101,
         Level.INFO,
@@ -179,6 +184,14 @@
         Level.INFO,
         'this VM has the state again that others have',
     )
+    UPDATE_CONFLICTS = (
+        5117,
+        Level.WARNING,
+        (
+            'another VM has another configuration at the same position '
+            'in the store'
+        ),
+    )
     UPDATE_DIFFERS = (
         5106,
         Level.WARNING,
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -31,11 +31,13 @@
     encode_vm,
 )
 from turmericpost.platform.store_codec import (
+    ERA_HEADER,
     KeyedRead,
     KeyedRecord,
     Listing,
     decode_append,
     decode_detail,
+    decode_era,
     decode_first_offset,
     decode_keyed_read,
     decode_listing,
@@ -94,8 +96,8 @@
 _Decoded = TypeVar('_Decoded')
 
 
-def _ignore_byte_count(_count: int) -> None:
-    """Ignore the size of a request or response."""
+def _ignore_number(_number: int) -> None:
+    """Ignore the size of a request or response, or the era of the store."""
 
 
 class StoreClient:
@@ -110,16 +112,21 @@
         self,
         reactor: Any,
         address: Address,
-        count_bytes: Callable[[int], None] = _ignore_byte_count,
+        count_bytes: Callable[[int], None] = _ignore_number,
     ) -> None:
         self.outcomes: Counter[StoreOperationOutcome] = Counter()
         self._reactor = reactor
         self._address = address
         self._count_bytes = count_bytes
+        self._era_listener: Callable[[int], None] = _ignore_number
         self._idle_clients: list[SerialHttpClient] = []
         self._busy_clients: set[SerialHttpClient] = set()
         self._watch_client: SerialHttpClient | None = None
 
+    def on_era(self, listener: Callable[[int], None]) -> None:
+        """Call ``listener`` with the era that each response states."""
+        self._era_listener = listener
+
     async def list_backends(self) -> Result[Registrations, StoreError]:
         """Return the newest registration of every backend server."""
         listed = await self._list('list-backends', _BACKENDS_TOPIC)
@@ -300,6 +307,9 @@
         self, response: HttpResponse
     ) -> Result[bytes, StoreError]:
         self._count_bytes(len(response.body))
+        era = decode_era(response.first(ERA_HEADER))
+        if era is not None:
+            self._era_listener(era)
         if response.status == _OK:
             return Ok(response.body)
         kind = _ERROR_KINDS.get(
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -11,7 +11,11 @@
 from turmericpost.platform.json_fields import MALFORMED_ERRORS, parse_json
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost.store.record_log import LogBatch, LogRecord
+from turmericpost_core.fleet.store_position import MAX_ERA
 
+ERA_HEADER = b'store-era'
+
+_ERA_DIGITS = len(str(MAX_ERA))
 _LENGTH = Struct('>I')
 _END_AND_FIRST_OFFSETS = Struct('>QQ')
 
@@ -127,6 +131,17 @@
     return _int_member(body, 'First') or 0
 
 
+def decode_era(header: bytes | None) -> int | None:
+    """Return the era that the store states in a header field.
+
+    ``None`` if the field is missing or is no number from 0 to ``MAX_ERA``.
+    """
+    if header is None or not header.isdigit() or len(header) > _ERA_DIGITS:
+        return None
+    era = int(header)
+    return era if era <= MAX_ERA else None
+
+
 def decode_detail(body: bytes) -> str:
     """Return the body of an error response as text."""
     return body.decode('utf-8', 'replace')
--- a/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
+++ b/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from twisted.internet.task import Clock
@@ -46,6 +47,22 @@
             StateVersion(0, versions.operator_offset, versions.backends, 0),
         )
 
+    # Guards against two VMs with different configurations of which each counts
+    # as up to date, while no line tells so.
+    def test_other_configuration_at_the_same_position_is_logged(self) -> None:
+        self.state.apply_update(self.newer.update_since(KnownVersions()))
+        update = self.newer.update_since(self.state.versions)
+        self.monitor.update_received(StateWay.PUSH, 'vm1', update)
+        self.logged.assert_not_called()
+        version = (update.config_version or 0) + 1
+        other = replace(update, config_version=version)
+        for _ in range(2):
+            self.monitor.update_received(StateWay.PUSH, 'vm1', other)
+        self.logged.assert_called_once()
+        self.assertIs(self.logged.call_args.args[0], LogEvent.UPDATE_CONFLICTS)
+        fields = self.logged.call_args.kwargs
+        self.assertEqual(fields['stated_config'], version)
+
     # Guards against a VM that is behind for good while no line and no gauge
     # tells so.
     def test_lag_is_logged_once_with_the_failures(self) -> None:
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -17,6 +17,7 @@
 from tests.platform.samples import ENTRY
 from turmericpost.fleet.store import Registrations, StoreOperationOutcome
 from turmericpost.platform.store_client import StoreClient
+from turmericpost.platform.store_codec import decode_era
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.membership.domain_view import Vm
 from turmericpost_standins.store.partition import ProducerSequence
@@ -72,6 +73,36 @@
         self.assertTrue(outcome.is_err(), outcome)
         self.assertIs(outcome.unwrap_err().kind, kind)
 
+    # Guards against a change of the store's era that goes unnoticed, since
+    # only some of the responses are looked at.
+    def test_every_response_states_the_era(self) -> None:
+        store = StoreHarness(StoreLimits(reads_per_s=2))
+        eras: list[int] = []
+        store.client.on_era(eras.append)
+
+        async def steps() -> list[bool]:
+            client = store.client
+            read = await client.read_backends(0)
+            expired = await client.read_backends(5)
+            overloaded = await client.read_backends(0)
+            store.service.faults.is_busy = True
+            busy = await client.list_backends()
+            store.service.era = None
+            await client.list_backends()
+            return [
+                outcome.is_ok() for outcome in (read, expired, overloaded, busy)
+            ]
+
+        self.assertEqual(store.run(steps), [True, False, False, False])
+        self.assertEqual(eras, [1] * 4)
+
+    # Guards against a field that harms more than itself: one that is no number
+    # of an era counts as missing.
+    def test_invalid_era_is_ignored(self) -> None:
+        fields = (None, b'', b'-1', b'x', b'1.5', b'9' * 40, b'%d' % 2**30)
+        self.assertEqual({decode_era(field) for field in fields}, {None})
+        self.assertEqual(decode_era(b'0'), 0)
+
     def test_registrations_are_read_from_the_end_of_the_listing(self) -> None:
         store = StoreHarness()
         store.register(1)
