--- a/packages/turmericpost-core/src/turmericpost_core/fleet/backends.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/backends.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from turmericpost_core.fleet.store_position import StorePosition
+
 Version: TypeAlias = tuple[int, int]
+"""A position in the registry, and a number of changes made at it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,8 +38,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Registration:
-    """Registry record at an offset; ``backend`` is ``None`` for a removal."""
+    """Registry record at a position; ``backend`` is ``None`` for a removal."""
 
-    offset: int
+    offset: StorePosition
     backend_id: str
     backend: Backend | None
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/changes.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/changes.py
@@ -14,6 +14,7 @@
 from xxhash import xxh3_64_intdigest
 
 from turmericpost_core.fleet.backends import Backend, Version
+from turmericpost_core.fleet.store_position import StorePosition
 
 MAX_KEPT_CHANGES = 2048
 """Number of changes kept for other VMs.
@@ -42,7 +43,7 @@
 
     base: Version | None
     version: Version
-    next_offset: int
+    next_offset: StorePosition
     digest: int
     changes: tuple[BackendChange, ...]
 
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -14,6 +14,8 @@
     apply_changes,
     directory_digest,
 )
+from turmericpost_core.fleet.departures import Departures
+from turmericpost_core.fleet.store_position import START, StorePosition
 
 REREGISTRATION_GRACE_S = 2.5
 """Seconds that servers need to register again after an outage of the store.
@@ -46,31 +48,33 @@
     """
 
     due_s: float
-    offset: int
-    end: int
+    offset: StorePosition
+    end: StorePosition
 
 
 class BackendDirectory:
-    """Registered backend servers as of an offset of the registry.
+    """Registered backend servers as of a position in the registry.
 
     VMs compare ``version`` to find out whose registry is newer. It consists of
-    the offset after the last record that changed anything, and a number that
+    the position after the last record that changed anything, and a number that
     grows with each later change that no newer record made. ``withheld`` are
-    ids of servers whose removals are due, but not confirmed by a read since.
+    ids of servers that are not used: their removals are due, but not confirmed
+    by a read since, or they left in an earlier era of the store.
     """
 
     def __init__(self) -> None:
         self.backends: Mapping[str, Backend] = {}
         self.version: Version = (0, 0)
-        self.next_offset = 0
+        self.next_offset = START
         self.withheld: frozenset[str] = frozenset()
         self._grace_until_s = float(0)
         self._removals: dict[str, _Removal] = {}
         self._change_log = ChangeLog()
+        self._departures = Departures()
 
     @property
-    def resume_offset(self) -> int:
-        """Offset from which another VM with this registry reads on.
+    def resume_offset(self) -> StorePosition:
+        """Position from which another VM with this registry reads on.
 
         Removals that have not taken effect yet are not part of the registry, so
         it has to read them again.
@@ -78,6 +82,11 @@
         offsets = (removal.offset for removal in self._removals.values())
         return min((self.next_offset, *offsets))
 
+    @property
+    def logged_version(self) -> tuple[int, int]:
+        """Offset and number of the version, without its era."""
+        return StorePosition(self.version[0]).offset, self.version[1]
+
     @property
     def is_settled(self) -> bool:
         """Whether all records before the version have taken effect.
@@ -94,7 +103,12 @@
             for backend_id, removal in self._removals.items()
         }
 
-    def lacks(self, version: Version, next_offset: int) -> bool:
+    @property
+    def era(self) -> int | None:
+        """Era of the store that this registry is of."""
+        return StorePosition(self.version[0]).era
+
+    def lacks(self, version: Version, next_offset: StorePosition) -> bool:
         """Return whether the registry of another VM should replace this one.
 
         ``next_offset`` is the ``resume_offset`` of that VM. Among registries of
@@ -121,24 +135,29 @@
         changed = False
         for record in records:
             if record.offset >= self.next_offset:
-                self.next_offset = record.offset + 1
+                self.next_offset = StorePosition(record.offset + 1)
                 changed = self._apply(record, now_s) or changed
         return changed
 
     def resync(
         self,
         records: Iterable[Registration],
-        next_offset: int,
+        next_offset: StorePosition,
         now_s: float,
     ) -> bool:
         """Replace the registry by a full listing; return whether it changed.
 
-        Used if the store has already deleted records that were not yet read.
+        Used if the store has already deleted records that were not yet read, or
+        has returned from a copy. Servers that the copy lacks may register again.
         A listing older than the current state is ignored.
         """
         if next_offset < self.next_offset:
             return False
         listed = tuple(records)
+        is_new_era = next_offset.era != self.era
+        if is_new_era and self.backends:
+            self.start_reregistration_grace(now_s)
+            self._departures.begin_era(self.backends.values())
         version_before = self.version
         gap = (self.next_offset, next_offset)
         present = {entry.backend_id for entry in listed if entry.backend}
@@ -150,11 +169,13 @@
         for record in listed:
             changed = self._apply(record, now_s) or changed
         self.next_offset = next_offset
-        if changed:
-            self.version = version_before
-            self._raise_version(next_offset)
-            self._change_log.reset(self.version)
-        return changed
+        if not (changed or is_new_era):
+            return False
+        self.version = version_before
+        self._raise_version(next_offset)
+        self._change_log.reset(self.version)
+        self.withhold(now_s)
+        return True
 
     def update_since(self, version: Version | None) -> RegistryUpdate:
         """Return the update for a VM that has ``version``.
@@ -188,13 +209,22 @@
         if not self.lacks(update.version, update.next_offset):
             return UpdateOutcome.UNCHANGED
         is_full = update.base is None
+        previous = self.backends.values()
+        is_new_era = StorePosition(update.version[0]).era != self.era
         previous_backends = {} if is_full else self.backends
         new_backends = apply_changes(previous_backends, update.changes)
         if directory_digest(new_backends.values()) != update.digest:
             return UpdateOutcome.MISMATCH
+        if is_new_era:
+            self._departures.begin_era(previous)
+        self._departures.record_removals(
+            known for known in previous if known.backend_id not in new_backends
+        )
         self.backends = new_backends
         self.version = update.version
         self.next_offset = update.next_offset
+        if is_new_era:
+            self.withheld |= self._departures.ids_in(new_backends)
         if is_full:
             self._removals.clear()
             self._change_log.reset(self.version)
@@ -204,7 +234,7 @@
         self.read_by_peer(update.next_offset)
         return UpdateOutcome.APPLIED
 
-    def read_by_peer(self, offset: int) -> None:
+    def read_by_peer(self, offset: StorePosition) -> None:
         """Skip the records that a VM with an equal registry has read.
 
         That VM has also read the removals that end before ``offset``, and has
@@ -225,7 +255,8 @@
         again. Without one, this VM does not use the server, and leaves the
         registry as it is.
         """
-        withheld = frozenset(self._due_ids(now_s))
+        departed = self._departures.still_registered(self.backends, now_s)
+        withheld = departed.union(self._due_ids(now_s))
         if withheld == self.withheld:
             return False
         self.withheld = withheld
@@ -259,7 +290,7 @@
     def _apply(self, record: Registration, now_s: float) -> bool:
         backend = record.backend
         if backend is None:
-            place = (record.offset, record.offset + 1)
+            place = (record.offset, StorePosition(record.offset + 1))
             changed = self._remove(record.backend_id, place, now_s)
         else:
             # Of this version, others may have dropped the server.
@@ -313,7 +344,10 @@
         return True
 
     def _remove(
-        self, backend_id: str, place: tuple[int, int], now_s: float
+        self,
+        backend_id: str,
+        place: tuple[StorePosition, StorePosition],
+        now_s: float,
     ) -> bool:
         known = self.backends.get(backend_id)
         if known is None:
@@ -326,6 +360,9 @@
         return True
 
     def _drop(self, backend_id: str) -> None:
+        known = self.backends.get(backend_id)
+        if known is not None:
+            self._departures.record_removals((known,))
         self.backends = {
             key: kept_backend
             for key, kept_backend in self.backends.items()
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -9,22 +9,24 @@
 from turmericpost_core.fleet.backends import Backend, Version
 from turmericpost_core.fleet.changes import RegistryUpdate
 from turmericpost_core.fleet.config_updates import ConfigHistory, ConfigUpdate
+from turmericpost_core.fleet.departures import DEPARTURE_HOLD_S
 from turmericpost_core.fleet.directory import BackendDirectory, UpdateOutcome
 from turmericpost_core.fleet.operator_config import (
     OperatorConfig,
     RouteIndex,
 )
+from turmericpost_core.fleet.store_position import START, StorePosition
 
 
 @dataclass(frozen=True, slots=True)
 class OperatorChange:
-    """A record of the operator at an offset.
+    """A record of the operator at a position.
 
     Contains either a configuration or a failure domain that is evacuated or,
     if ``is_evacuated`` is false, back in service.
     """
 
-    offset: int
+    offset: StorePosition
     config: OperatorConfig | None = None
     evacuated_domain: str = ''
     is_evacuated: bool = True
@@ -34,7 +36,7 @@
 class KnownVersions:
     """Versions of the state of a VM; ``None`` for parts it does not have."""
 
-    operator_offset: int = 0
+    operator_offset: StorePosition = START
     config: int | None = None
     backends: Version | None = None
 
@@ -47,7 +49,7 @@
     ``None`` if the receiver already has that version.
     """
 
-    operator_offset: int
+    operator_offset: StorePosition
     config_version: int | None
     config: ConfigUpdate | None
     evacuated: frozenset[str]
@@ -55,14 +57,24 @@
 
 
 class FleetState:
-    """State built from platform records; it never returns to older versions."""
+    """State built from platform records; it never returns to older versions.
+
+    ``evacuated`` are the failure domains that the operator's records name, and
+    ``out_of_service`` those whose backend servers are not used. If the store
+    returns from a copy, a domain that was evacuated before stays out of service
+    for ``DEPARTURE_HOLD_S``, and the configuration in force until there is a
+    newer one.
+    """
 
     def __init__(self) -> None:
         self.routes = RouteIndex(())
         self.evacuated: frozenset[str] = frozenset()
-        self.operator_offset = 0
+        self.operator_offset = START
         self.directory = BackendDirectory()
         self._configs = ConfigHistory()
+        self._stored_config: int | None = None
+        self.out_of_service: frozenset[str] = frozenset()
+        self._held_until_s: dict[str, float] = {}
         self._usable = _UsableBackends({}, frozenset(), frozenset())
 
     @property
@@ -80,10 +92,28 @@
             self.directory.version,
         )
 
+    @property
+    def held_config(self) -> int | None:
+        """The version in force if the store may have lost it, else ``None``."""
+        in_force = self.versions.config
+        if in_force is None or self._stored_config is None:
+            return None
+        return in_force if in_force > self._stored_config else None
+
+    def withhold(self, now_s: float) -> bool:
+        """Update what is held from an earlier era; return whether it changed."""
+        self._held_until_s = {
+            domain: min(until_s, now_s + DEPARTURE_HOLD_S)
+            for domain, until_s in self._held_until_s.items()
+            if now_s < until_s
+        }
+        is_changed = self._update_out_of_service()
+        return self.directory.withhold(now_s) or is_changed
+
     def apply_operator_records(
         self,
         changes: Iterable[OperatorChange],
-        next_offset: int,
+        next_offset: StorePosition,
     ) -> bool:
         """Apply new records of the operator; return whether anything changed.
 
@@ -94,12 +124,13 @@
             if change.offset >= self.operator_offset:
                 changed = self._apply(change) or changed
         self.operator_offset = max(self.operator_offset, next_offset)
+        self._update_out_of_service()
         return changed
 
     def resync_operator(
         self,
         changes: Iterable[OperatorChange],
-        next_offset: int,
+        next_offset: StorePosition,
     ) -> bool:
         """Replace the operator state by a full listing.
 
@@ -112,9 +143,9 @@
         domains = frozenset(
             entry.evacuated_domain for entry in listed if entry.is_evacuated
         )
-        changed = bool(self.evacuated - domains)
+        changed = self._begin_era(next_offset) or bool(self.evacuated - domains)
         self.evacuated &= domains
-        self.operator_offset = 0
+        self.operator_offset = START
         return self.apply_operator_records(listed, next_offset) or changed
 
     def update_since(self, known: KnownVersions) -> FleetUpdate:
@@ -128,14 +159,24 @@
         )
 
     def apply_update(self, update: FleetUpdate) -> UpdateOutcome:
-        """Apply the parts of an update from another VM that are newer."""
-        is_operator_applied = False
+        """Apply the parts of an update from another VM that are newer.
+
+        A configuration is newer by its version, since the store may have lost
+        it and given its position to another one.
+        """
+        versions_before = self.versions
+        if not self._apply_config_update(update):
+            return UpdateOutcome.MISMATCH
         if update.operator_offset > self.operator_offset:
-            if not self._apply_operator_update(update):
-                return UpdateOutcome.MISMATCH
-            is_operator_applied = True
+            self._begin_era(update.operator_offset)
+            self.operator_offset = update.operator_offset
+            self.evacuated = update.evacuated
+            self._release(update.evacuated)
+            self._stored_config = update.config_version
+            self._update_out_of_service()
         outcome = self.directory.apply_update(update.registry)
-        if is_operator_applied and outcome is UpdateOutcome.UNCHANGED:
+        is_applied = self.versions != versions_before
+        if is_applied and outcome is UpdateOutcome.UNCHANGED:
             return UpdateOutcome.APPLIED
         return outcome
 
@@ -154,7 +195,7 @@
         """Return the usable servers, computed anew only after a change."""
         basis = (
             self.directory.backends,
-            self.evacuated,
+            self.out_of_service,
             self.directory.withheld,
         )
         if any(
@@ -164,27 +205,51 @@
             self._usable = _UsableBackends(*basis)
         return self._usable
 
-    def _apply_operator_update(self, update: FleetUpdate) -> bool:
-        """Apply configuration and evacuations.
+    def _begin_era(self, position: StorePosition) -> bool:
+        """Hold what the store may have lost if a position is of another era.
 
-        Returns false if the base configuration of the update is missing.
+        Returns whether it is.
         """
-        if update.config is not None:
-            config = self._configs.apply(update.config)
-            if config is None:
-                return False
-            self._install(config)
-        if (self.versions.config or 0) < (update.config_version or 0):
+        if position.era == self.operator_offset.era:
+            return False
+        self._held_until_s.update(
+            (domain, float('inf')) for domain in self.evacuated
+        )
+        self._stored_config = 0
+        return True
+
+    def _update_out_of_service(self) -> bool:
+        """Update the domains whose servers are not used; return if changed."""
+        domains = self.evacuated.union(self._held_until_s)
+        if domains == self.out_of_service:
             return False
-        self.operator_offset = update.operator_offset
-        self.evacuated = update.evacuated
+        self.out_of_service = domains
         return True
 
+    def _release(self, domains: Iterable[str]) -> None:
+        """No longer hold domains of which the store has a record again."""
+        for domain in domains:
+            self._held_until_s.pop(domain, None)
+
+    def _apply_config_update(self, update: FleetUpdate) -> bool:
+        """Put the configuration of an update in force if it is newer.
+
+        Returns false if the update lacks it, or is based on a missing one.
+        """
+        if (self.versions.config or 0) >= (update.config_version or 0):
+            return True
+        if update.config is None:
+            return False
+        config = self._configs.apply(update.config)
+        return config is not None and self._install(config)
+
     def _apply(self, change: OperatorChange) -> bool:
         if change.config is not None:
+            self._stored_config = change.config.version
             return self._install(change.config)
         before = self.evacuated
         domains = frozenset((change.evacuated_domain,))
+        self._release(domains)
         self.evacuated = (
             before | domains if change.is_evacuated else before - domains
         )
--- a/packages/turmericpost-core/tests/fleet/broken_way_history.py
+++ b/packages/turmericpost-core/tests/fleet/broken_way_history.py
@@ -19,6 +19,7 @@
     OperatorChange,
 )
 from turmericpost_core.fleet.state_lag import PartLag, StatedVersion
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.catch_up import CatchUp
 from turmericpost_core.membership.store_read_schedule import (
     is_reader,
@@ -192,7 +193,7 @@
         one.lag.record_read(self._now_s)
         before = one.state.operator_offset
         one.state.apply_operator_records(
-            self._records[before:], len(self._records)
+            self._records[before:], StorePosition(len(self._records))
         )
         if one.state.operator_offset > before:
             self._push(vm)
--- a/packages/turmericpost-core/tests/fleet/removal_history.py
+++ b/packages/turmericpost-core/tests/fleet/removal_history.py
@@ -17,6 +17,7 @@
     BackendDirectory,
     UpdateOutcome,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 
 VMS = 4
 SERVERS = 5
@@ -91,7 +92,7 @@
     def _list(self, vm: int) -> None:
         directory = self.directories[vm]
         listed = [entry for entry in self._listing() if entry.backend]
-        directory.resync(listed, len(self._records), self._now_s)
+        directory.resync(listed, StorePosition(len(self._records)), self._now_s)
         directory.expire(self._now_s)
 
     def _begin_grace(self, vm: int) -> None:
--- a/packages/turmericpost-core/tests/fleet/state_sync_history.py
+++ b/packages/turmericpost-core/tests/fleet/state_sync_history.py
@@ -20,6 +20,7 @@
     KnownVersions,
     OperatorChange,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.store_read_schedule import (
     is_reader,
     new_read_schedule,
@@ -207,7 +208,7 @@
         offset = simulated_vm.state.operator_offset
         simulated_vm.state.apply_operator_records(
             self._operator[offset:],
-            len(self._operator),
+            StorePosition(len(self._operator)),
         )
 
     def _send_heartbeat(self, vm: int) -> None:
--- a/packages/turmericpost-core/tests/fleet/test_changes.py
+++ b/packages/turmericpost-core/tests/fleet/test_changes.py
@@ -14,6 +14,7 @@
     directory_digest,
 )
 from turmericpost_core.fleet.directory import BackendDirectory, UpdateOutcome
+from turmericpost_core.fleet.store_position import StorePosition
 
 SERVERS = 400
 RELEASED_SERVERS = 14
@@ -109,7 +110,9 @@
 
     def test_update_after_a_listing_is_full(self) -> None:
         sender, receiver = large_directory(), large_directory()
-        sender.resync([registered(SERVERS + 8, 7)], SERVERS + 9, 1)
+        sender.resync(
+            [registered(SERVERS + 8, 7)], StorePosition(SERVERS + 9), 1
+        )
         update = sender.update_since(receiver.version)
         self.assertIsNone(update.base)
         self.assertIs(receiver.apply_update(update), UpdateOutcome.APPLIED)
@@ -171,7 +174,7 @@
     if kind == 'back':
         reader.start_reregistration_grace(now_s)
     elif kind == 'list':
-        reader.resync([record], offset + 1, now_s)
+        reader.resync([record], StorePosition(offset + 1), now_s)
     else:
         reader.apply_records(
             [removed(offset, number) if kind == 'gone' else record], now_s
--- a/packages/turmericpost-core/tests/fleet/test_directory.py
+++ b/packages/turmericpost-core/tests/fleet/test_directory.py
@@ -17,6 +17,7 @@
     BackendDirectory,
     UpdateOutcome,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 
 
 def registered(offset: int, number: int, **changes: object) -> Registration:
@@ -31,7 +32,7 @@
     return RegistryUpdate(
         base=None,
         version=version,
-        next_offset=version[0],
+        next_offset=StorePosition(version[0]),
         digest=directory_digest(backends),
         changes=tuple(
             BackendChange(version, one.backend_id, one) for one in backends
@@ -103,7 +104,7 @@
         other.read_by_peer(4)
         for directory, end in ((self.directory, 9), (other, 10)):
             directory.start_reregistration_grace(10)
-            directory.resync([registered(8, 1)], end, 10)
+            directory.resync([registered(8, 1)], StorePosition(end), 10)
         for _ in range(2):
             self.directory.read_by_peer(other.resume_offset)
             other.read_by_peer(self.directory.resume_offset)
@@ -155,7 +156,7 @@
         self,
     ) -> None:
         self.directory.start_reregistration_grace(10)
-        self.directory.resync([registered(1, 1)], 9, 10)
+        self.directory.resync([registered(1, 1)], StorePosition(9), 10)
         self.assertEqual(self.directory.resume_offset, 2)
         self.directory.expire(10 + REREGISTRATION_GRACE_S)
         self.assertEqual(self.directory.resume_offset, 9)
@@ -167,7 +168,9 @@
         self.directory.start_reregistration_grace(10)
         self.directory.apply_records([removal, registered(3, 1)], 10)
         update = full_update((3, 0), backend(0), backend(1))
-        self.directory.apply_update(replace(update, next_offset=2))
+        self.directory.apply_update(
+            replace(update, next_offset=StorePosition(2))
+        )
         self.directory.apply_records([removal, registered(3, 1)], 20)
         self.assertNotIn('b0', self.directory.backends)
 
@@ -225,7 +228,7 @@
             directory.start_reregistration_grace(10)
             directory.apply_records([removed(2, first)], 10)
             directory.start_reregistration_grace(12)
-            directory.resync([], 4, 12)
+            directory.resync([], StorePosition(4), 12)
             directory.expire(10 + REREGISTRATION_GRACE_S)
         self.assertNotEqual(other.backends, self.directory.backends)
         self.assertNotEqual(other.version, self.directory.version)
@@ -249,12 +252,14 @@
         self.assertNotIn('b0', self.directory.backends)
 
     def test_listing_replaces_the_registry(self) -> None:
-        self.assertTrue(self.directory.resync([registered(7, 1)], 9, 1))
+        self.assertTrue(
+            self.directory.resync([registered(7, 1)], StorePosition(9), 1)
+        )
         self.assertEqual(set(self.directory.backends), {'b1'})
         self.assertEqual(self.directory.next_offset, 9)
 
     def test_older_listing_is_ignored(self) -> None:
-        self.assertFalse(self.directory.resync([], 1, 1))
+        self.assertFalse(self.directory.resync([], StorePosition(1), 1))
         self.assertEqual(set(self.directory.backends), {'b0', 'b1'})
 
     def test_only_newer_updates_are_applied(self) -> None:
--- a/packages/turmericpost-core/tests/fleet/test_state.py
+++ b/packages/turmericpost-core/tests/fleet/test_state.py
@@ -22,6 +22,7 @@
     KnownVersions,
     OperatorChange,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 
 _LIMITS = CallerLimits(16384, 67108864, 3, 15)
 
@@ -54,8 +55,12 @@
 class FleetStateTest(unittest.TestCase):
     def test_older_configuration_is_ignored(self) -> None:
         state = FleetState()
-        state.apply_operator_records([OperatorChange(0, config(5))], 1)
-        state.apply_operator_records([OperatorChange(1, config(3))], 2)
+        state.apply_operator_records(
+            [OperatorChange(0, config(5))], StorePosition(1)
+        )
+        state.apply_operator_records(
+            [OperatorChange(1, config(3))], StorePosition(2)
+        )
         self.assertEqual(state.config.version, 5)
 
     def test_servers_of_an_evacuated_domain_are_not_usable(self) -> None:
@@ -63,21 +68,21 @@
         registered = Registration(0, 'b0', backend(0))
         state.directory.apply_records([registered], 0)
         evacuation = OperatorChange(0, evacuated_domain='nasr')
-        state.apply_operator_records([evacuation], 1)
+        state.apply_operator_records([evacuation], StorePosition(1))
         self.assertEqual(state.usable_backends(), ())
         self.assertEqual(state.slots('press'), {})
         evacuation_end = OperatorChange(
             1, evacuated_domain='nasr', is_evacuated=False
         )
-        state.apply_operator_records([evacuation_end], 2)
+        state.apply_operator_records([evacuation_end], StorePosition(2))
         self.assertEqual(len(state.usable_backends()), 1)
 
     def test_listing_ends_evacuations_that_it_does_not_contain(self) -> None:
         state = FleetState()
         state.apply_operator_records(
-            [OperatorChange(0, evacuated_domain='nasr')], 1
+            [OperatorChange(0, evacuated_domain='nasr')], StorePosition(1)
         )
-        self.assertTrue(state.resync_operator([], 9))
+        self.assertTrue(state.resync_operator([], StorePosition(9)))
         self.assertEqual(state.evacuated, frozenset())
 
     def test_update_is_rejected_if_an_earlier_configuration_is_missing(
@@ -86,11 +91,15 @@
         """The update with the earlier configuration was lost."""
         sender, receiver = FleetState(), FleetState()
         for state in (sender, receiver):
-            state.apply_operator_records([OperatorChange(0, config(1))], 1)
-        sender.apply_operator_records([OperatorChange(1, config(2))], 2)
+            state.apply_operator_records(
+                [OperatorChange(0, config(1))], StorePosition(1)
+            )
+        sender.apply_operator_records(
+            [OperatorChange(1, config(2))], StorePosition(2)
+        )
         known = sender.versions
         evacuation = OperatorChange(2, evacuated_domain='nasr')
-        sender.apply_operator_records([evacuation], 3)
+        sender.apply_operator_records([evacuation], StorePosition(3))
         partial_update = sender.update_since(known)
         self.assertIs(
             receiver.apply_update(partial_update), UpdateOutcome.MISMATCH
@@ -114,7 +123,7 @@
                 OperatorChange(one, config(one + 1))
                 for one in range(offset + 1)
             ]
-            sender.apply_operator_records(changes, offset + 1)
+            sender.apply_operator_records(changes, StorePosition(offset + 1))
             updates.append(sender.update_since(KnownVersions()))
         receiver_state = FleetState()
         highest_version = 0
--- a/packages/turmericpost-entry/src/turmericpost/fleet/field_types.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/field_types.py
@@ -14,6 +14,8 @@
 from types import MappingProxyType, UnionType
 from typing import Any, TypeAlias, Union, get_args, get_origin, get_type_hints
 
+from turmericpost_core.fleet.store_position import StorePosition
+
 _TypeTest: TypeAlias = Callable[[Any], bool]
 
 _MIN_INTEGER = -0x8000000000000000
@@ -33,6 +35,13 @@
             raise TypeError(f'{data_class.__name__}.{name}')
 
 
+def read_position(unpacked: Any) -> StorePosition:
+    """Return the position with this integer; raise ``TypeError`` for others."""
+    if unpacked.__class__ is not int:
+        raise TypeError(f'{unpacked!r} is not a position')
+    return StorePosition(unpacked)
+
+
 def require_not_negative(number: float) -> float:
     """Return a number; raise ``ValueError`` if it is negative."""
     if number < 0:
@@ -126,6 +135,15 @@
     )
 
 
+def _is_position(instance: Any) -> bool:
+    return instance.__class__ is StorePosition and 0 <= instance <= _MAX_INTEGER
+
+
 _SCALAR_TESTS: Mapping[Any, _TypeTest] = MappingProxyType(
-    {float: _is_finite_number, int: _is_integer, str: _is_text}
+    {
+        float: _is_finite_number,
+        int: _is_integer,
+        str: _is_text,
+        StorePosition: _is_position,
+    }
 )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/lag_monitor.py
@@ -21,6 +21,7 @@
     StatePart,
     StateWay,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 
 CALM_S = 5.0
 """Time without a lag after which a VM counts as caught up: while a way is
@@ -123,7 +124,8 @@
                 LogEvent.UPDATE_CONFLICTS,
                 way=way.value,
                 vm=vm_name,
-                operator_offset=own.operator_offset,
+                operator_offset=own.operator_offset.offset,
+                era=own.operator_offset.era,
                 config=own.config,
                 stated_config=update.config_version,
                 left_out=left_out,
@@ -148,7 +150,7 @@
             newest = part_lag.newest
             missing = 0
             if newest is not None:
-                missing = _offset(newest.version) - _offset(own_version)
+                missing = _records_between(own_version, newest.version)
             yield f'{part.value}_behind_s', part_lag.age_s(now_s)
             yield f'{part.value}_behind_records', missing
 
@@ -165,8 +167,10 @@
             LogEvent.STATE_BEHIND,
             part=part.value,
             behind_s=round(age_s, 3),
-            version=self._own_versions()[part],
-            stated_version=newest.version,
+            version=self._own_position(part).offset,
+            era=self._own_position(part).era,
+            stated_version=_position(newest.version).offset,
+            stated_era=_position(newest.version).era,
             stated_by=newest.vm_name,
             failures={
                 f'{way.value} {cause}': count
@@ -179,10 +183,14 @@
             LogEvent.STATE_CAUGHT_UP,
             part=part.value,
             source=self._source,
-            version=self._own_versions()[part],
+            version=self._own_position(part).offset,
+            era=self._own_position(part).era,
             longest_behind_s=round(report.longest_s, 3),
         )
 
+    def _own_position(self, part: StatePart) -> StorePosition:
+        return _position(self._own_versions()[part])
+
     def _own_versions(self) -> Mapping[StatePart, Any]:
         return {
             StatePart.OPERATOR: self._state.operator_offset,
@@ -198,6 +206,13 @@
     longest_s: float
 
 
-def _offset(version: Any) -> int:
-    """Return the offset of a version of either part."""
-    return int(version[0] if isinstance(version, tuple) else version)
+def _position(version: Any) -> StorePosition:
+    """Return the position of a version of either part."""
+    return StorePosition(version[0] if isinstance(version, tuple) else version)
+
+
+def _records_between(own_version: Any, newest_version: Any) -> int:
+    """Return how many records a version is behind another one."""
+    own, newest = _position(own_version), _position(newest_version)
+    own_offset = own.offset if own.is_of_era(newest.era) else 0
+    return newest.offset - own_offset
--- a/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/message_codec.py
@@ -16,8 +16,10 @@
 from turmericpost.fleet.dataclass_fields import shallow_fields
 from turmericpost.fleet.field_types import (
     check_field_types,
+    read_position,
     require_not_negative,
 )
+from turmericpost.fleet.held_config import HeldConfig
 from turmericpost.fleet.messages import (
     AvailabilityMessage,
     CancelMessage,
@@ -100,9 +102,9 @@
     last_changed, expired_count = backends
     return StateVersion(
         require_not_negative(read_age_s),
-        operator_offset,
+        read_position(operator_offset),
         (last_changed, expired_count),
-        next_offset,
+        read_position(next_offset),
     )
 
 
@@ -182,6 +184,7 @@
     UpdatePush,
     RateLimitsMessage,
     AvailabilityMessage,
+    HeldConfig,
 )
 _DECODERS: tuple[Callable[[Any], Message], ...] = (
     _decode_heartbeat,
@@ -196,4 +199,5 @@
     lambda fields: UpdatePush(*fields),
     decode_rate_limits,
     decode_availability,
+    lambda fields: HeldConfig(*fields),
 )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/messages.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from turmericpost.fleet.held_config import HeldConfig
 from turmericpost_core.fleet.backends import Backend, Version
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.grants.permits import AttemptReport, DenialReason
 from turmericpost_core.membership.domain_view import Vm, VmReadiness
 
@@ -22,13 +24,13 @@
 
     ``read_age_s`` is the age of its last read of the store, at most 999 s.
     ``operator_offset`` and ``backends`` are the versions of operator state
-    and registry. ``next_offset`` is the registry offset to read next.
+    and registry. ``next_offset`` is the registry position to read next.
     """
 
     read_age_s: float
-    operator_offset: int
+    operator_offset: StorePosition
     backends: Version
-    next_offset: int
+    next_offset: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,4 +209,5 @@
     | FinishMessage
     | RateLimitsMessage
     | AvailabilityMessage
+    | HeldConfig
 )
--- a/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/peers.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import TypeAlias
 
 from twisted.internet.protocol import DatagramProtocol
 
+from turmericpost.fleet.held_config import HeldConfig
 from turmericpost.fleet.message_codec import decode_message, encode_message
 from turmericpost.fleet.messages import (
     Digest,
@@ -53,11 +54,20 @@
 """Backend server ids of held permits, by VM to report to and by permit id."""
 
 
+def _no_held_config() -> None:
+    """The store has the configuration that is in force."""
+
+
+def _ignore_held_config(_vm_name: str, _version: int) -> None:
+    """Ignore a configuration that another VM holds."""
+
+
 @dataclass(frozen=True)
 class PeerCallbacks:
     """Callbacks of the datagram protocol to the rest of the VM.
 
-    The first three return the contents of heartbeats. ``message`` gets the
+    The first three return the contents of heartbeats. ``held_config`` returns
+    the version in force if the store may have lost it. ``message`` gets the
     messages that the protocol does not handle itself.
     """
 
@@ -69,6 +79,8 @@
     held_permits_received: Callable[[str, Mapping[str, str]], None]
     live_vms_changed: Callable[[frozenset[str], frozenset[str]], None]
     message: Callable[[str, Message], None]
+    held_config: Callable[[], int | None] = _no_held_config
+    held_config_received: Callable[[str, int], None] = _ignore_held_config
 
 
 class PeerProtocol(DatagramProtocol):
@@ -139,6 +151,9 @@
                 else plain_datagram
             )
             self._send_datagram(vm.host, vm.peer_port, datagram)
+        self._send_held_config(
+            self.view.heartbeat_targets(self.view.own.failure_domain)
+        )
 
     def push(self, update: bytes) -> bool:
         """Send an update to all VMs of the domain.
@@ -176,8 +191,10 @@
         )
         for domain in self._domain_regions:
             if domain != own.failure_domain:
-                for vm in self._digest_receivers(domain, now_s):
+                receivers = self._digest_receivers(domain, now_s)
+                for vm in receivers:
                     self.send(vm, digest)
+                self._send_held_config(receivers)
 
     def datagramReceived(
         self,
@@ -205,9 +222,27 @@
             self._digest_received(message)
         elif isinstance(message, UpdatePush):
             self._callbacks.push_received(message.sender, message.wire)
+        else:
+            self._pass_on(host, message)
+
+    def _pass_on(self, host: str, message: Message) -> None:
+        if isinstance(message, HeldConfig):
+            self._callbacks.held_config_received(
+                message.sender, message.version
+            )
         else:
             self._callbacks.message(host, message)
 
+    def _send_held_config(self, receivers: Iterable[Vm]) -> None:
+        """Tell other VMs of a configuration that the store may have lost.
+
+        They can't read it there, and its position says nothing any more.
+        """
+        version = self._callbacks.held_config()
+        if version is not None:
+            for vm in receivers:
+                self.send(vm, HeldConfig(self.view.own.name, version))
+
     def _send_datagram(self, host: str, port: int, datagram: bytes) -> None:
         if self.transport is None:
             return
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -25,6 +25,7 @@
     StateWay,
     is_outdated,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.catch_up import CatchUp
 from turmericpost_core.membership.domain_view import DomainView, Vm
 from turmericpost_core.membership.store_read_schedule import (
@@ -51,13 +52,17 @@
 _READER_SUBJECT = 'store-reader'
 
 
+def _ignore_new_era() -> None:
+    """Do nothing when the store has returned from a copy."""
+
+
 class StateSync:
     """Keeps the state of this VM up to date.
 
     ``on_change`` is called after each change with its source: ``registry``
     or ``operator`` for a read of the store, else the name of the VM that sent
     the update. ``is_seed_vm`` is true if other VMs contact this one when they
-    start.
+    start. ``on_new_era`` is called when the store has returned from a copy.
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         self._view = view
         self._schedule = schedule
         self._on_change = on_change
+        self.on_new_era: Callable[[], None] = _ignore_new_era
         self.store_era: int | None = None
         self._fetcher = UpdateFetcher(
             reactor,
@@ -112,7 +118,8 @@
         self._may_read_from_s = clock.monotonic_s() + delay_s
         self._read_ages_s: dict[str, tuple[float, float]] = {}
         self._newer_since_s: dict[str, float] = {}
-        self._operator_offsets: dict[str, int] = {}
+        self._operator_offsets: dict[str, StorePosition] = {}
+        self._stated_configs: dict[str, int] = {}
 
     def state_version(self) -> StateVersion:
         """Return the version of this VM's state for heartbeats."""
@@ -124,16 +131,25 @@
             next_offset=self.state.directory.resume_offset,
         )
 
-    def era_stated(self, era: int) -> None:
-        """Log a change of the store's era."""
+    def era_stated(self, era: int | None, source: str = 'store') -> None:
+        """Record the era that the store or another VM states.
+
+        If it has risen, the reader lists anew what this VM has read.
+        """
         was = self.store_era
-        if was is not None and era <= was:
+        if era is None or (was is not None and era <= was):
             return
         self.store_era = era
+        self.reader.era_stated(era)
         if was is not None:
             log_event(
-                LogEvent.STORE_ERA_CHANGED, was=was, era=era, source='store'
+                LogEvent.STORE_ERA_CHANGED, was=was, era=era, source=source
             )
+            self.on_new_era()
+
+    def held_config_received(self, vm_name: str, version: int) -> None:
+        """Record that another VM has a version that the store may lack."""
+        self._stated_configs[vm_name] = version
 
     def is_reader(self) -> bool:
         """Return whether this VM should read the store now.
@@ -163,12 +179,13 @@
         """
         now_s = self._clock.monotonic_s()
         self.monitor.version_stated(vm.name, state_version)
+        self.era_stated(state_version.operator_offset.era, vm.name)
         is_same_domain = vm.failure_domain == self._view.own.failure_domain
         if is_same_domain:
             self._read_ages_s[vm.name] = (state_version.read_age_s, now_s)
             self.reader.peer_has_read(now_s - state_version.read_age_s)
             self._operator_offsets[vm.name] = state_version.operator_offset
-        if not self._is_newer(state_version):
+        if not self._is_newer(vm, state_version):
             self._newer_since_s.pop(vm.failure_domain, None)
             self._advance_offset(state_version)
             return
@@ -198,6 +215,7 @@
         self.monitor.update_received(StateWay.PUSH, sender, update)
         outcome = self.state.apply_update(update)
         if outcome is UpdateOutcome.MISMATCH:
+            self._stated_configs[sender] = update.config_version or 0
             self.monitor.failed(StateWay.PUSH, MISMATCH, vm=sender)
         if self._has_changed(versions_before, outcome):
             self._state_changed(sender)
@@ -208,13 +226,15 @@
             self._read_ages_s.pop(name, None)
             self._fetched_versions.pop(name, None)
             self._operator_offsets.pop(name, None)
+            self._stated_configs.pop(name, None)
 
     def retry_after_behind_s(self) -> float | None:
         """Return when a call whose route is unknown here should be retried.
 
         ``None`` if no other VM is known to have a newer configuration.
         """
-        if self.monitor.lag.part(StatePart.OPERATOR).newest is None:
+        is_behind = self.monitor.lag.part(StatePart.OPERATOR).newest is not None
+        if not (is_behind or any(map(self._lacks, self._stated_configs))):
             return None
         return self._schedule.behind_after_s
 
@@ -258,10 +278,17 @@
             self.monitor.lag.part(part).since_s, self._clock.monotonic_s()
         )
 
-    def _is_newer(self, state_version: StateVersion) -> bool:
+    def _lacks(self, vm_name: str) -> bool:
+        """Return whether another VM has stated a newer configuration."""
+        stated = self._stated_configs.get(vm_name, 0)
+        return stated > (self.state.versions.config or 0)
+
+    def _is_newer(self, vm: Vm, state_version: StateVersion) -> bool:
         state = self.state
         if state_version.operator_offset > state.operator_offset:
             return True
+        if self._lacks(vm.name):
+            return True
         return state.directory.lacks(
             state_version.backends, state_version.next_offset
         )
@@ -302,11 +329,12 @@
         A reader of the own domain has them at once, but reads the registry only
         once in a period, so that newer state there means nothing.
         """
-        if self.monitor.lag.part(StatePart.OPERATOR).newest is not None:
+        is_behind = self.monitor.lag.part(StatePart.OPERATOR).newest is not None
+        if is_behind or self._lacks(vm.name):
             self._fetcher.fetch(vm, self.state.versions)
 
     def _fetch_if_newer(self, vm: Vm, state_version: StateVersion) -> None:
-        if self._is_newer(state_version):
+        if self._is_newer(vm, state_version):
             self._fetch(vm, state_version)
 
     def _apply_update(self, update: FleetUpdate, vm: Vm) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store.py
@@ -11,6 +11,7 @@
 from turmericpost.store.errors import StoreError
 from turmericpost_core.fleet.backends import Registration
 from turmericpost_core.fleet.state import OperatorChange
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import Vm
 
 
@@ -18,14 +19,14 @@
 class InvalidRecord:
     """A record that cannot be decoded; ``detail`` is the reason."""
 
-    offset: int
+    offset: StorePosition
     key: str
     detail: str
 
 
 @dataclass(frozen=True)
 class Registrations:
-    """Registry records from one read, and the offset of the next read.
+    """Registry records from one read, and the position of the next read.
 
     ``records`` contains a removal for each invalid record: the servers that it
     or an earlier record of its key names are not to be used. ``end_offset`` is
@@ -34,8 +35,8 @@
 
     records: tuple[Registration, ...]
     invalid: tuple[InvalidRecord, ...]
-    next_offset: int
-    end_offset: int
+    next_offset: StorePosition
+    end_offset: StorePosition
 
     @property
     def is_complete(self) -> bool:
@@ -45,7 +46,7 @@
 
 @dataclass(frozen=True)
 class OperatorRecords:
-    """Operator records from one read, and the offset of the next read.
+    """Operator records from one read, and the position of the next read.
 
     ``end_offset`` is larger than ``next_offset`` if the read left out newer
     records.
@@ -53,8 +54,8 @@
 
     records: tuple[OperatorChange, ...]
     invalid: tuple[InvalidRecord, ...]
-    next_offset: int
-    end_offset: int
+    next_offset: StorePosition
+    end_offset: StorePosition
 
     @property
     def is_complete(self) -> bool:
@@ -85,21 +86,25 @@
 
     async def read_backends(
         self,
-        from_offset: int,
+        begin: StorePosition,
     ) -> Result[Registrations, StoreError]:
-        """Return the registry records from an offset on, without waiting."""
+        """Return the registry records from a position on, without waiting.
+
+        The error is ``OTHER_ERA`` if the store has returned from a copy since.
+        """
 
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
         """Return the records of the current configuration and evacuations."""
 
     async def watch_operator(
         self,
-        from_offset: int,
+        begin: StorePosition,
         wait_s: float,
     ) -> Result[OperatorRecords, StoreError]:
-        """Return operator records from an offset on.
+        """Return operator records from a position on.
 
-        Waits up to ``wait_s`` seconds for the first record.
+        Waits up to ``wait_s`` seconds for the first record. The error is
+        ``OTHER_ERA`` if the store has returned from a copy since.
         """
 
     def stop_watching(self) -> None:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -26,6 +26,7 @@
 from turmericpost_core.fleet.directory import REREGISTRATION_GRACE_S
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.fleet.state_lag import StatePart
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.store_read_schedule import (
     MAX_RETRY_PAUSE_S,
     ReadSchedule,
@@ -90,6 +91,7 @@
         self._needs_backend_listing = False
         self._needs_operator_listing = False
         self._has_operator_listing = False
+        self._era: int | None = None
         self._was_reader = False
         self._is_running = False
         self._logged_invalid: set[str] = set()
@@ -105,6 +107,15 @@
         self._is_running = False
         self._store.stop_watching()
 
+    def era_stated(self, era: int) -> None:
+        """Record the era of the store, and end a wait in an earlier one.
+
+        What this VM has read in another era is listed anew.
+        """
+        self._era = era
+        if self._is_of_other_era(self._state.operator_offset):
+            self._store.stop_watching()
+
     def peer_has_read(self, read_s: float) -> None:
         """Record when another VM of the domain read the registry.
 
@@ -163,12 +174,13 @@
         directory = self._state.directory
         offset = directory.next_offset
         is_listing = self._needs_backend_listing or not offset
+        is_listing = is_listing or self._is_of_other_era(offset)
         if is_listing:
             read_result = await self._store.list_backends()
         else:
             read_result = await self._store.read_backends(offset)
         if read_result.is_err():
-            self._backend_read_failed(read_result.unwrap_err())
+            self._backend_read_failed(read_result.unwrap_err(), begun_s)
             return
         self._backend_read_succeeded(begun_s)
         if not is_listing and directory.next_offset < offset:
@@ -237,8 +249,9 @@
         """
         begun_s = self._clock.monotonic_s()
         offset = self._state.operator_offset
-        is_known = offset or self._has_operator_listing
-        is_listing = self._needs_operator_listing or not is_known
+        is_first = not (offset or self._has_operator_listing)
+        is_listing = is_first or self._needs_operator_listing
+        is_listing = is_listing or self._is_of_other_era(offset)
         if is_listing:
             read_result = await self._store.list_operator()
         else:
@@ -254,10 +267,13 @@
     def _operator_read_failed(self, error: StoreError) -> float:
         """Handle a failed read; return the seconds to wait before the next one.
 
-        If the store no longer retains the records from the offset on, the next
+        If the store no longer has the records from the position on, the next
         read lists the newest record of each key instead. After one missing
         response the next read follows at once on another connection.
         """
+        if error.kind is StoreErrorKind.OTHER_ERA:
+            self._needs_operator_listing = True
+            return _IDLE_CHECK_S
         if error.kind is StoreErrorKind.EXPIRED:
             self._needs_operator_listing = True
             offset = self._state.operator_offset
@@ -287,7 +303,11 @@
         if apply_records(read_result.records, read_result.next_offset):
             self._callbacks.changed('operator')
 
-    def _backend_read_failed(self, error: StoreError) -> None:
+    def _backend_read_failed(self, error: StoreError, begun_s: float) -> None:
+        if error.kind is StoreErrorKind.OTHER_ERA:
+            self._backend_read_succeeded(begun_s)
+            self._needs_backend_listing = True
+            return
         if error.kind is StoreErrorKind.EXPIRED:
             self._needs_backend_listing = True
             offset = self._state.directory.next_offset
@@ -306,6 +326,10 @@
                 detail=error.detail,
             )
 
+    def _is_of_other_era(self, position: StorePosition) -> bool:
+        """Return whether the store no longer counts from a position."""
+        return self._era is not None and not position.is_of_era(self._era)
+
     def _forget_old_failures(self) -> None:
         """Forget failed reads of a VM that has not had to read since.
 
@@ -355,13 +379,13 @@
             log_event(
                 LogEvent.READ_INCOMPLETE,
                 part=part.value,
-                next_offset=read_result.next_offset,
-                end_offset=read_result.end_offset,
+                next_offset=read_result.next_offset.offset,
+                end_offset=read_result.end_offset.offset,
                 read_s=round(self._clock.monotonic_s() - begun_s, 3),
             )
 
     def _log_expired(
-        self, part: StatePart, offset: int, error: StoreError
+        self, part: StatePart, position: StorePosition, error: StoreError
     ) -> None:
         """Log a read that the store has no records for.
 
@@ -370,9 +394,9 @@
         log_event(
             LogEvent.STORE_EXPIRED,
             part=part.value,
-            wanted=offset,
+            wanted=position.offset,
             earliest=error.earliest_offset,
-            is_past_end=offset > error.earliest_offset,
+            is_past_end=position.offset > error.earliest_offset,
             detail=error.detail,
         )
 
@@ -389,7 +413,7 @@
                 log_event(
                     LogEvent.RECORD_INVALID,
                     key=record.key,
-                    offset=record.offset,
+                    offset=record.offset.offset,
                     detail=record.detail[:_MAX_DETAIL_CHARACTERS],
                 )
 
--- a/packages/turmericpost-entry/src/turmericpost/fleet/update_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/update_codec.py
@@ -9,7 +9,7 @@
 import msgpack
 from result import Err, Ok, Result
 
-from turmericpost.fleet.field_types import check_field_types
+from turmericpost.fleet.field_types import check_field_types, read_position
 from turmericpost.fleet.message_codec import (
     MalformedMessage,
     unpack_backend,
@@ -83,7 +83,7 @@
 def _parse_versions(fields: Any) -> KnownVersions:
     operator_offset, config, backends = fields
     versions = KnownVersions(
-        operator_offset,
+        read_position(operator_offset),
         config,
         None if backends is None else _parse_version(backends),
     )
@@ -102,7 +102,7 @@
 def _parse_update(fields: Any) -> FleetUpdate:
     operator_offset, config_version, config, evacuated, registry = fields
     update = FleetUpdate(
-        operator_offset=operator_offset,
+        operator_offset=read_position(operator_offset),
         config_version=config_version,
         config=None if config is None else _unpack_config(config),
         evacuated=frozenset(evacuated),
@@ -117,7 +117,7 @@
     return RegistryUpdate(
         base=None if base is None else _parse_version(base),
         version=_parse_version(version),
-        next_offset=next_offset,
+        next_offset=read_position(next_offset),
         digest=digest,
         changes=tuple(_unpack_change(change) for change in changes),
     )
--- a/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/ingress.py
@@ -263,7 +263,7 @@
             'service': call.context.service,
             'ms': call.trail.age_ms(),
             'config': None if config is None else config.version,
-            'backends': self._state.directory.version,
+            'backends': self._state.directory.logged_version,
             'trail': call.trail.steps(),
         }
 
--- a/packages/turmericpost-entry/src/turmericpost/gateway/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/node.py
@@ -105,7 +105,7 @@
         start_periodic(self._reactor, SWEEP_INTERVAL_S, self._sweep)
         start_loop(self._reactor, self._send_heartbeats)
         self.state_sync.reader.start()
-        start_loop(self._reactor, self._peer_discovery.run)
+        self._peer_discovery.start()
         return Ok(None)
 
     async def stop(self) -> None:
@@ -181,6 +181,7 @@
         )
         self.state = self.state_sync.state
         self._store.on_era(self.state_sync.era_stated)
+        self.state_sync.on_new_era = self._announce_again
         self.peers = PeerProtocol(
             self.clock,
             self.view,
@@ -200,6 +201,8 @@
                 ),
                 live_vms_changed=self._live_vms_changed,
                 message=self._message_received,
+                held_config=lambda: self.state.held_config,
+                held_config_received=self.state_sync.held_config_received,
             ),
         )
 
@@ -323,17 +326,24 @@
             LogEvent.KNOWLEDGE_CHANGED,
             source=source,
             config=None if config is None else config.version,
-            store_era=self.state_sync.store_era,
-            operator_offset=state.operator_offset,
-            backends_version=state.directory.version,
+            store_era=state.operator_offset.era,
+            operator_offset=state.operator_offset.offset,
+            backends_era=state.directory.era,
+            backends_version=state.directory.logged_version,
             usable=len(backends),
             gained=sorted(ids - self._usable_ids),
             lost=sorted(self._usable_ids - ids),
-            evacuated=sorted(state.evacuated),
+            evacuated=sorted(state.out_of_service),
+            held_config=state.held_config,
         )
         self._usable_ids = ids
         self._state_pusher.push(source)
 
+    def _announce_again(self) -> None:
+        """Announce this VM again, as the store may have lost it."""
+        if self._drain_plan is None:
+            self._peer_discovery.restart()
+
     def _update_readiness(self) -> None:
         """State whether the VM accepts new callers, unless it is leaving."""
         before = self.view.own_readiness
@@ -376,7 +386,7 @@
         self._log_changes()
         self.state_sync.monitor.report()
         self._update_readiness()
-        if self.state.directory.withhold(now_s):
+        if self.state.withhold(now_s):
             self._state_changed('withheld')
 
     def _log_changes(self) -> None:
@@ -437,6 +447,7 @@
             'store_read_age_s': state_version.read_age_s,
             'config_version': 0 if config is None else config.version,
             'store_era': -1 if era is None else era,
+            'config_held': int(self.state.held_config is not None),
             'invalid_records': self.state_sync.reader.invalid_count,
             'backends': len(self.state.directory.backends),
             'probes': self.call_path.prober.probes_sent,
--- a/packages/turmericpost-entry/src/turmericpost/gateway/peer_discovery.py
+++ b/packages/turmericpost-entry/src/turmericpost/gateway/peer_discovery.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.task import deferLater
 
+from turmericpost.background import start_loop
 from turmericpost.fleet.peers import PeerProtocol
 from turmericpost.fleet.store import FleetStore
 from turmericpost.observe.events import LogEvent, log_event
@@ -37,20 +38,33 @@
         self._store = store
         self._peers = peers
         self._is_announced = False
+        self._is_running = False
 
-    async def run(self) -> None:
+    def start(self) -> None:
         """Search for VMs until this VM is announced and another one is live.
 
         The VMs are listed from the store only if no seed host replies.
         """
+        self._is_running = True
+        start_loop(self._reactor, self.run)
+
+    def restart(self) -> None:
+        """Announce this VM again."""
+        self._is_announced = False
+        if not self._is_running:
+            self.start()
+
+    async def run(self) -> None:
+        """Do what ``start`` says; return when it is done."""
         while not self.is_finished:
             self._send_hello()
             if not self._is_announced:
                 await self._announce()
             await self._repeat_hello()
             if self._is_announced and self._knows_other_vms():
-                return
+                break
             await self._add_vms_from_store()
+        self._is_running = False
 
     async def _announce(self) -> None:
         announced = await self._store.announce(self._peers.view.own)
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from operator import attrgetter
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -31,13 +32,11 @@
     encode_vm,
 )
 from turmericpost.platform.store_codec import (
-    ERA_HEADER,
     KeyedRead,
     KeyedRecord,
     Listing,
     decode_append,
     decode_detail,
-    decode_era,
     decode_first_offset,
     decode_keyed_read,
     decode_listing,
@@ -45,9 +44,11 @@
     encode_keyed,
     encode_record,
 )
+from turmericpost.platform.store_era import ERA_HEADER, decode_era
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost.store.record_log import LogBatch
 from turmericpost_core.fleet.backends import Registration
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import Vm
 
 _OPERATOR_TOPIC = 'keyed.op'
@@ -96,6 +97,14 @@
 _Decoded = TypeVar('_Decoded')
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Body of a successful response, and the era that it states."""
+
+    body: bytes
+    era: int | None
+
+
 def _ignore_number(_number: int) -> None:
     """Ignore the size of a request or response, or the era of the store."""
 
@@ -134,24 +143,17 @@
 
     async def read_backends(
         self,
-        from_offset: int,
+        begin: StorePosition,
     ) -> Result[Registrations, StoreError]:
-        """Return the registrations from an offset on, without waiting.
+        """Return the registrations from a position on, without waiting.
 
         At most ``MAX_REGISTRY_READ_KB`` of records are read.
         """
         request = _read_request(
-            _BACKENDS_TOPIC, from_offset, max_kb=MAX_REGISTRY_READ_KB
-        )
-        response_body = await self._call(
-            'read-backends', request, CALL_TIMEOUT_S
-        )
-        decoded = response_body.and_then(
-            lambda body: decode_read(from_offset, body)
-        )
-        return decoded.map(
-            lambda batch: _registrations(decode_keyed_read(from_offset, batch))
+            _BACKENDS_TOPIC, begin.offset, max_kb=MAX_REGISTRY_READ_KB
         )
+        answer = await self._call('read-backends', request, CALL_TIMEOUT_S)
+        return _decode_keyed_answer(begin, answer).map(_registrations)
 
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
         """Return the current configuration and evacuations."""
@@ -160,10 +162,10 @@
 
     async def watch_operator(
         self,
-        from_offset: int,
+        begin: StorePosition,
         wait_s: float,
     ) -> Result[OperatorRecords, StoreError]:
-        """Return records of the operator from an offset on.
+        """Return records of the operator from a position on.
 
         Waits up to ``wait_s`` seconds for the first record. At most
         ``MAX_OPERATOR_READ_KB`` of records or one record are read.
@@ -171,20 +173,13 @@
         client = self._acquire_client()
         self._watch_client = client
         query = _read_request(
-            _OPERATOR_TOPIC, from_offset, wait_s, MAX_OPERATOR_READ_KB
+            _OPERATOR_TOPIC, begin.offset, wait_s, MAX_OPERATOR_READ_KB
         )
-        response_body = await self._call(
+        answer = await self._call(
             'watch-operator', query, wait_s + WATCH_MARGIN_S, client
         )
         self._watch_client = None
-        decoded = response_body.and_then(
-            lambda body: decode_read(from_offset, body)
-        )
-        return decoded.map(
-            lambda batch: _operator_records(
-                decode_keyed_read(from_offset, batch)
-            )
-        )
+        return _decode_keyed_answer(begin, answer).map(_operator_records)
 
     def stop_watching(self) -> None:
         """Abort the current ``watch_operator`` call, which returns an error."""
@@ -196,12 +191,8 @@
         query = _request_target('log-append', Topic=_VMS_TOPIC, part=0)
         body = encode_keyed(vm.name, encode_vm(vm))
         request = HttpRequest('POST', query, body)
-        response_body = await self._call('announce', request, CALL_TIMEOUT_S)
-        return (
-            Err(response_body.unwrap_err())
-            if response_body.is_err()
-            else Ok(None)
-        )
+        answer = await self._call('announce', request, CALL_TIMEOUT_S)
+        return answer.map(lambda _: None)
 
     async def list_vms(self) -> Result[tuple[Vm, ...], StoreError]:
         """Return all VMs that announced themselves."""
@@ -221,8 +212,8 @@
         """Append a record without key and return its offset."""
         query = _request_target('log-append', Topic=stream, part=0)
         request = HttpRequest('POST', query, encode_record(record))
-        response_body = await self._call('append', request, CALL_TIMEOUT_S)
-        return response_body.and_then(decode_append)
+        answer = await self._call('append', request, CALL_TIMEOUT_S)
+        return answer.and_then(lambda response: decode_append(response.body))
 
     async def read(
         self,
@@ -235,11 +226,9 @@
         Waits up to ``wait_s`` seconds for the first record.
         """
         request = _read_request(stream, from_offset, wait_s)
-        response_body = await self._call(
-            'read', request, CALL_TIMEOUT_S + wait_s
-        )
-        return response_body.and_then(
-            lambda body: decode_read(from_offset, body)
+        answer = await self._call('read', request, CALL_TIMEOUT_S + wait_s)
+        return answer.and_then(
+            lambda read: decode_read(from_offset, read.body, read.era)
         )
 
     async def _list(
@@ -249,11 +238,11 @@
     ) -> Result[KeyedRead, StoreError]:
         """Return the records of all pages of a listing.
 
-        The topic may change between pages, so the offset to continue from is
-        the end offset of the first page.
+        The topic may change between pages, so the position to continue from is
+        the end of the first page. Pages of two eras are no listing.
         """
         records: list[KeyedRecord] = []
-        end: int | None = None
+        end: StorePosition | None = None
         after: str | None = None
         while True:
             page = await self._list_page(operation, topic, after)
@@ -262,6 +251,8 @@
             listing = page.unwrap()
             records.extend(listing.records)
             end = listing.end if end is None else end
+            if not listing.end.is_of_era(end.era):
+                return Err(StoreError(StoreErrorKind.OTHER_ERA))
             if not (listing.has_more and listing.records):
                 return Ok(KeyedRead(tuple(records), end, end))
             after = listing.records[-1].key
@@ -276,8 +267,8 @@
         if after is not None:
             query['after'] = after
         request = HttpRequest('GET', _request_target('log-newest', **query))
-        response_body = await self._call(operation, request, LIST_TIMEOUT_S)
-        return response_body.and_then(decode_listing)
+        answer = await self._call(operation, request, LIST_TIMEOUT_S)
+        return answer.and_then(lambda page: decode_listing(page.body, page.era))
 
     async def _call(
         self,
@@ -285,7 +276,7 @@
         request: HttpRequest,
         timeout_s: float,
         client: SerialHttpClient | None = None,
-    ) -> Result[bytes, StoreError]:
+    ) -> Result[_Answer, StoreError]:
         http_client = self._acquire_client() if client is None else client
         exchanged = await http_client.send(request, timeout_s)
         self._busy_clients.discard(http_client)
@@ -293,30 +284,31 @@
         self._count_bytes(len(request.target) + len(request.body))
         if exchanged.err() is HttpRequestError.NO_RESPONSE:
             self._close_idle()
-        body = exchanged.map_err(_store_error).and_then(self._body_or_error)
-        outcome = body.unwrap_err().kind.value if body.is_err() else 'ok'
+        answer = exchanged.map_err(_store_error).and_then(self._answer_or_error)
+        outcome = answer.unwrap_err().kind.value if answer.is_err() else 'ok'
         self.outcomes[StoreOperationOutcome(operation, outcome)] += 1
-        return body
+        return answer
 
     def _close_idle(self) -> None:
         """Close idle connections, which may have gone silent, too."""
         for client in self._idle_clients:
             client.close()
 
-    def _body_or_error(
+    def _answer_or_error(
         self, response: HttpResponse
-    ) -> Result[bytes, StoreError]:
+    ) -> Result[_Answer, StoreError]:
         self._count_bytes(len(response.body))
         era = decode_era(response.first(ERA_HEADER))
         if era is not None:
             self._era_listener(era)
         if response.status == _OK:
-            return Ok(response.body)
+            return Ok(_Answer(response.body, era))
         kind = _ERROR_KINDS.get(
             response.status, StoreErrorKind.MALFORMED_RESPONSE
         )
         detail = f'{response.status} {decode_detail(response.body)}'
-        return Err(StoreError(kind, detail, decode_first_offset(response.body)))
+        earliest = decode_first_offset(response.body)
+        return Err(StoreError(kind, detail, earliest, era))
 
     def _acquire_client(self) -> SerialHttpClient:
         if self._idle_clients:
@@ -333,6 +325,27 @@
     return StoreError(StoreErrorKind(error.value), error.value)
 
 
+def _decode_keyed_answer(
+    begin: StorePosition, answer: Result[_Answer, StoreError]
+) -> Result[KeyedRead, StoreError]:
+    if answer.is_err():
+        return Err(_error_at(begin, answer.unwrap_err()))
+    read = answer.unwrap()
+    decoded = decode_read(begin.offset, read.body, read.era)
+    return decoded.and_then(lambda batch: decode_keyed_read(begin, batch))
+
+
+def _error_at(begin: StorePosition, error: StoreError) -> StoreError:
+    """Return the error of a read from a position.
+
+    A position of another era has not expired.
+    """
+    is_expired = error.kind is StoreErrorKind.EXPIRED
+    if is_expired and error.era is not None and not begin.is_of_era(error.era):
+        return replace(error, kind=StoreErrorKind.OTHER_ERA)
+    return error
+
+
 def _registrations(read: KeyedRead) -> Registrations:
     """Decode registrations; an invalid one removes what its key registered."""
     valid, invalid = _decode_all(read, decode_registration)
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -9,13 +9,11 @@
 from result import Err, Ok, Result
 
 from turmericpost.platform.json_fields import MALFORMED_ERRORS, parse_json
+from turmericpost.platform.store_era import error_of_era
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost.store.record_log import LogBatch, LogRecord
-from turmericpost_core.fleet.store_position import MAX_ERA
+from turmericpost_core.fleet.store_position import StorePosition, new_position
 
-ERA_HEADER = b'store-era'
-
-_ERA_DIGITS = len(str(MAX_ERA))
 _LENGTH = Struct('>I')
 _END_AND_FIRST_OFFSETS = Struct('>QQ')
 
@@ -27,7 +25,7 @@
     Bytes of the key that are not UTF-8 are kept as surrogate escapes.
     """
 
-    offset: int
+    offset: StorePosition
     key: str
     payload: bytes
 
@@ -36,25 +34,25 @@
 class Listing:
     """One page of a listing: the newest record of each key.
 
-    ``end`` is the offset that the next record of the topic will get.
+    ``end`` is the position that the next record of the topic will get.
     """
 
     records: tuple[KeyedRecord, ...]
     has_more: bool
-    end: int
+    end: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
 class KeyedRead:
-    """Records of a read in offset order, and the offset to continue from.
+    """Records of a read in offset order, and the position to continue from.
 
     ``end_offset`` is the one that the next record of the topic would get when
     the store answered. It is larger if the read left records out.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
-    end_offset: int
+    next_offset: StorePosition
+    end_offset: StorePosition
 
 
 def encode_record(record: bytes) -> bytes:
@@ -74,6 +72,7 @@
 def decode_read(
     from_offset: int,
     body: bytes,
+    era: int | None,
 ) -> Result[LogBatch, StoreError]:
     """Decode the response to a read: two offsets, then the records.
 
@@ -95,19 +94,23 @@
         position += length
         offset += 1
     end = _END_AND_FIRST_OFFSETS.unpack_from(body)[0]
-    return Ok(LogBatch(tuple(records), end))
+    return Ok(LogBatch(tuple(records), end, era))
 
 
-def decode_keyed_read(from_offset: int, batch: LogBatch) -> KeyedRead:
-    """Decode the records of a read as records of a keyed topic."""
-    records = tuple(
-        _decode_keyed(log_record.offset, log_record.record)
-        for log_record in batch.records
-    )
-    if not records:
-        next_offset = min(from_offset, batch.end_offset)
-        return KeyedRead(records, next_offset, batch.end_offset)
-    return KeyedRead(records, records[-1].offset + 1, batch.end_offset)
+def decode_keyed_read(
+    begin: StorePosition, batch: LogBatch
+) -> Result[KeyedRead, StoreError]:
+    """Decode the records of a read as records of a keyed topic.
+
+    The error is ``OTHER_ERA`` if they don't follow the position ``begin``, and
+    ``MALFORMED_RESPONSE`` if the response does not tell.
+    """
+    if not begin.is_of_era(batch.era):
+        return Err(error_of_era(begin, batch.era))
+    try:
+        return Ok(_decode_keyed_batch(begin, batch))
+    except ValueError as error:
+        return Err(_malformed_response(str(error)))
 
 
 def decode_append(body: bytes) -> Result[int, StoreError]:
@@ -118,10 +121,10 @@
     return Ok(offset)
 
 
-def decode_listing(body: bytes) -> Result[Listing, StoreError]:
+def decode_listing(body: bytes, era: int | None) -> Result[Listing, StoreError]:
     """Decode one page of a listing."""
     try:
-        return Ok(_decode_listing(parse_json(body)))
+        return Ok(_decode_listing(parse_json(body), era))
     except MALFORMED_ERRORS as error:
         return Err(_malformed_response(f'listing: {error!r}'))
 
@@ -131,38 +134,47 @@
     return _int_member(body, 'First') or 0
 
 
-def decode_era(header: bytes | None) -> int | None:
-    """Return the era that the store states in a header field.
-
-    ``None`` if the field is missing or is no number from 0 to ``MAX_ERA``.
-    """
-    if header is None or not header.isdigit() or len(header) > _ERA_DIGITS:
-        return None
-    era = int(header)
-    return era if era <= MAX_ERA else None
-
-
 def decode_detail(body: bytes) -> str:
     """Return the body of an error response as text."""
     return body.decode('utf-8', 'replace')
 
 
-def _decode_keyed(offset: int, record: bytes) -> KeyedRecord:
+def _decode_keyed_batch(begin: StorePosition, batch: LogBatch) -> KeyedRead:
+    """Decode records; raise ``ValueError`` if an offset is out of range."""
+    records = tuple(
+        _decode_keyed(
+            new_position(batch.era, log_record.offset), log_record.record
+        )
+        for log_record in batch.records
+    )
+    end = new_position(batch.era, batch.end_offset)
+    next_offset = min(begin, end)
+    if batch.records:
+        next_offset = new_position(batch.era, batch.records[-1].offset + 1)
+    return KeyedRead(records, next_offset, end)
+
+
+def _decode_keyed(offset: StorePosition, record: bytes) -> KeyedRecord:
     key_bytes = record[0] if record else 0
     payload_start = 1 + key_bytes
     key = record[1:payload_start].decode('utf-8', 'surrogateescape')
     return KeyedRecord(offset, key, record[payload_start:])
 
 
-def _decode_listing(page: dict[str, object]) -> Listing:
+def _decode_listing(page: dict[str, object], era: int | None) -> Listing:
     rows = page['items']
     if not isinstance(rows, list):
         raise TypeError('items is not a list')
     records = tuple(
-        KeyedRecord(int(row['Offset']), row['Key'], b64decode(row['Value']))
+        KeyedRecord(
+            new_position(era, int(row['Offset'])),
+            row['Key'],
+            b64decode(row['Value']),
+        )
         for row in rows
     )
-    return Listing(records, bool(page['More']), int(str(page['End'])))
+    end = new_position(era, int(str(page['End'])))
+    return Listing(records, bool(page['More']), end)
 
 
 def _malformed_response(detail: str) -> StoreError:
--- a/packages/turmericpost-entry/src/turmericpost/store/errors.py
+++ b/packages/turmericpost-entry/src/turmericpost/store/errors.py
@@ -11,7 +11,8 @@
 class StoreErrorKind(Enum):
     """Why an operation of the store failed.
 
-    After ``NO_RESPONSE`` or ``MALFORMED_RESPONSE``, an append may have taken
+    With ``OTHER_ERA`` the response belongs to another era of the store than the
+    position that was read from. After ``NO_RESPONSE`` or ``MALFORMED_RESPONSE``, an append may have taken
     effect or may do so later. After all other errors, it has no effect.
     """
 
@@ -23,6 +24,7 @@
     FORBIDDEN = 'forbidden'
     FULL = 'full'
     MALFORMED_RESPONSE = 'unreadable'
+    OTHER_ERA = 'other-era'
 
 
 _MAY_HAVE_HAD_EFFECT = frozenset(
@@ -35,12 +37,13 @@
     """Error of a store operation; must not be treated as an empty result.
 
     With the kind ``EXPIRED``, ``earliest_offset`` is the first offset that the
-    store still retains.
+    store still retains. ``era`` is the era that the response states, if any.
     """
 
     kind: StoreErrorKind
     detail: str = ''
     earliest_offset: int = 0
+    era: int | None = None
 
 
 def append_had_no_effect(appended: Result[int, StoreError]) -> bool:
--- a/packages/turmericpost-entry/src/turmericpost/store/record_log.py
+++ b/packages/turmericpost-entry/src/turmericpost/store/record_log.py
@@ -20,10 +20,14 @@
 
 @dataclass(frozen=True)
 class LogBatch:
-    """Records of a read, and the offset that the next append will get."""
+    """Records of a read, and the offset that the next append will get.
+
+    ``era`` is the era of the store, ``None`` if the response did not state it.
+    """
 
     records: tuple[LogRecord, ...]
     end_offset: int
+    era: int | None = None
 
 
 class RecordLog(Protocol):
--- a/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
+++ b/packages/turmericpost-entry/tests/fleet/test_lag_monitor.py
@@ -20,6 +20,7 @@
     StatePart,
     StateWay,
 )
+from turmericpost_core.fleet.store_position import START, StorePosition
 
 REPORT_AFTER_S = 0.4
 
@@ -44,7 +45,7 @@
         assert versions.backends is not None
         self.monitor.version_stated(
             'vm1',
-            StateVersion(0, versions.operator_offset, versions.backends, 0),
+            StateVersion(0, versions.operator_offset, versions.backends, START),
         )
 
     # Guards against two VMs with different configurations of which each counts
@@ -99,9 +100,9 @@
     # Guards against a VM that counts as behind although it has read the last
     # record, which changed nothing.
     def test_record_that_changes_nothing_ends_a_lag(self) -> None:
-        stated = StateVersion(0, 1, (0, 0), 0)
+        stated = StateVersion(0, StorePosition(1), (0, 0), START)
         self.monitor.version_stated('vm1', stated)
-        self.state.apply_operator_records((), 1)
+        self.state.apply_operator_records((), StorePosition(1))
         self.monitor.version_stated('vm1', stated)
         self.assertIsNone(self.monitor.lag.part(StatePart.OPERATOR).newest)
 
--- a/packages/turmericpost-entry/tests/fleet/test_peers.py
+++ b/packages/turmericpost-entry/tests/fleet/test_peers.py
@@ -16,13 +16,16 @@
     PeerCallbacks,
     PeerProtocol,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import DomainView, Vm, VmReadiness
 from turmericpost_core.membership.heartbeat_period import heartbeat_period_s
 
 VM_COUNT = 35
 DURATION_S = 10
 CONTROL_BYTES_PER_S = 6000
-STATE_VERSION = StateVersion(0.3, 12, (3456, 0), 3500)
+STATE_VERSION = StateVersion(
+    0.3, StorePosition(12), (3456, 0), StorePosition(3500)
+)
 
 
 def vm(number: int) -> Vm:
--- a/packages/turmericpost-entry/tests/fleet/test_recorded_messages.py
+++ b/packages/turmericpost-entry/tests/fleet/test_recorded_messages.py
@@ -46,6 +46,7 @@
     SplitPart,
 )
 from turmericpost_core.fleet.state import FleetUpdate, KnownVersions
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
@@ -270,7 +271,9 @@
 
     def test_vm_announcement_is_unchanged(self) -> None:
         stored = self.recorded['vm']
-        record = KeyedRecord(3, 'edge-1', json.dumps(stored).encode())
+        record = KeyedRecord(
+            StorePosition(3), 'edge-1', json.dumps(stored).encode()
+        )
         self.assertEqual(decode_vm(record).unwrap(), _VM)
         self.assertEqual(json.loads(encode_vm(_VM)), stored)
 
--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -24,6 +24,7 @@
     BackendDirectory,
 )
 from turmericpost_core.fleet.state import FleetState, KnownVersions
+from turmericpost_core.fleet.store_position import START, StorePosition
 from turmericpost_core.membership.catch_up import TAKEOVER_S
 from turmericpost_core.membership.domain_view import (
     DomainView,
@@ -112,7 +113,8 @@
         self,
     ) -> None:
         self.state_sync.state_version_received(
-            vm('far', 'smouha'), StateVersion(0, 0, (9, 0), 9)
+            vm('far', 'smouha'),
+            StateVersion(0, START, (9, 0), StorePosition(9)),
         )
         self.reactor.advance(OTHER_DOMAIN_DELAY_S)
         self.assertEqual(self.reactor.tcpClients, [])
@@ -129,11 +131,11 @@
             [Registration(1, 'i-0', None), Registration(2, 'i-1', server(1))], 0
         )
         listed = BackendDirectory()
-        listed.resync([Registration(2, 'i-1', server(1))], 3, 0)
+        listed.resync([Registration(2, 'i-1', server(1))], StorePosition(3), 0)
         self.assertEqual(listed.version, directory.version)
         self.state_sync.state_version_received(
             vm('far', 'smouha'),
-            StateVersion(0, 0, listed.version, listed.resume_offset),
+            StateVersion(0, START, listed.version, listed.resume_offset),
         )
         self.state_sync.reader.start()
         self._run(2 * REREGISTRATION_GRACE_S)
@@ -151,12 +153,14 @@
             [Registration(1, 'i-0', None), Registration(2, 'i-1', server(1))], 0
         )
         self.state_sync.state_version_received(
-            vm('near'), StateVersion(0, 0, directory.version, 2)
+            vm('near'),
+            StateVersion(0, START, directory.version, StorePosition(2)),
         )
         self.assertEqual(self.reactor.tcpClients, [])
         self.assertEqual(directory.resume_offset, 1)
         self.state_sync.state_version_received(
-            vm('near'), StateVersion(0, 0, directory.version, 3)
+            vm('near'),
+            StateVersion(0, START, directory.version, StorePosition(3)),
         )
         self.assertEqual(len(self.reactor.tcpClients), 1)
         self.assertEqual(directory.resume_offset, 1)
@@ -173,7 +177,7 @@
         ]
         directory.apply_records(records, 0)
         sender = FleetState()
-        sender.directory.resync(records[1:], 3, 0)
+        sender.directory.resync(records[1:], StorePosition(3), 0)
         self.assertEqual(sender.versions, self.state_sync.state.versions)
         self._push(sender.update_since(KnownVersions()))
         self.assertEqual(set(directory.backends), {'i-1'})
@@ -185,7 +189,7 @@
         versions = self.sender_state.versions
         self.state_sync.state_version_received(
             vm('far', 'smouha'),
-            StateVersion(0, versions.operator_offset, versions.backends, 0),
+            StateVersion(0, versions.operator_offset, versions.backends, START),
         )
         self._push(self.sender_state.update_since(KnownVersions()))
         self.reactor.advance(OTHER_DOMAIN_DELAY_S)
@@ -258,7 +262,8 @@
         view.record_heartbeat(vm(first), VmReadiness.READY, now_s)
         view.update_liveness(now_s)
         self.state_sync.state_version_received(
-            vm(first), StateVersion(0, operator_offset, (0, 0), 0)
+            vm(first),
+            StateVersion(0, StorePosition(operator_offset), (0, 0), START),
         )
 
     def _run(self, seconds: float) -> None:
@@ -266,7 +271,7 @@
             self.reactor.advance(_STEP_S)
 
     def _newer_version(self) -> StateVersion:
-        return StateVersion(0, 7, (9, 0), 9)
+        return StateVersion(0, StorePosition(7), (9, 0), StorePosition(9))
 
     def _push(self, update: object) -> None:
         self.state_sync.push_received('teller', encode_update(update))
--- a/packages/turmericpost-entry/tests/fleet/test_store_outage.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_outage.py
@@ -21,6 +21,7 @@
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.fleet.backends import Registration
 from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import Vm
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
@@ -33,6 +34,8 @@
 WATCHED_S = 8.0
 SERVERS = 3
 
+_FIRST = StorePosition(1)
+
 
 class OutageStore:
     """A store that can stop to respond, refuse all reads or lose some."""
@@ -69,12 +72,12 @@
             await deferLater(self._reactor, CALL_TIMEOUT_S)
         if failure is not None:
             return Err(StoreError(failure, 'test'))
-        end = len(self.records)
+        end = StorePosition(len(self.records))
         records = tuple(self.records[from_offset:])
         return Ok(Registrations(records, (), end, end))
 
     async def list_operator(self) -> Result[OperatorRecords, StoreError]:
-        return Ok(OperatorRecords((), (), 1, 1))
+        return Ok(OperatorRecords((), (), _FIRST, _FIRST))
 
     async def watch_operator(
         self, _from_offset: int, _wait_s: float
--- a/packages/turmericpost-entry/tests/fleet/test_store_reader.py
+++ b/packages/turmericpost-entry/tests/fleet/test_store_reader.py
@@ -27,6 +27,7 @@
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.fleet.state import FleetState, OperatorChange
 from turmericpost_core.fleet.state_lag import StatePart
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import Vm
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
@@ -35,6 +36,7 @@
 STEP_S = 0.05
 WAIT_S = 10.0
 WIDE = 10_000
+_FIRST = StorePosition(1)
 
 
 class FakeStore:
@@ -56,8 +58,8 @@
         return {}
 
     @property
-    def end(self) -> int:
-        return len(self.records)
+    def end(self) -> StorePosition:
+        return StorePosition(len(self.records))
 
     def write(self, domain: str) -> None:
         change = OperatorChange(len(self.records), evacuated_domain=domain)
@@ -77,7 +79,7 @@
 
     async def watch_operator(
         self,
-        from_offset: int,
+        from_offset: StorePosition,
         wait_s: float,
     ) -> Result[OperatorRecords, StoreError]:
         self.calls['watch-operator'] += 1
@@ -92,14 +94,14 @@
 
     async def list_backends(self) -> Result[Registrations, StoreError]:
         self.calls['list-backends'] += 1
-        return Ok(Registrations((), self.invalid, 1, 1))
+        return Ok(Registrations((), self.invalid, _FIRST, _FIRST))
 
     async def read_backends(
         self,
-        from_offset: int,
+        from_offset: StorePosition,
     ) -> Result[Registrations, StoreError]:
         self.calls['read-backends'] += 1
-        end = from_offset + self.left_out_count
+        end = StorePosition(from_offset + self.left_out_count)
         return Ok(Registrations((), (), from_offset, end))
 
     async def announce(self, vm: Vm) -> Result[None, StoreError]:
@@ -112,7 +114,7 @@
         if self.error is not None:
             return Err(self.error)
         new_records = tuple(self.records[from_offset:])
-        end = self.end + self.left_out_count
+        end = StorePosition(self.end + self.left_out_count)
         return Ok(OperatorRecords(new_records, (), self.end, end))
 
     def _wake_watcher(self) -> None:
@@ -200,13 +202,13 @@
     def test_read_from_past_the_next_offset_is_dropped(self) -> None:
         directory = self.state.directory
         self.reader.start()
-        directory.next_offset = 9
+        directory.next_offset = StorePosition(9)
         read = self.store.read_backends
 
         async def lead_back(
-            from_offset: int,
+            from_offset: StorePosition,
         ) -> Result[Registrations, StoreError]:
-            directory.next_offset = 5
+            directory.next_offset = StorePosition(5)
             return await read(from_offset)
 
         with patch.object(self.store, 'read_backends', lead_back):
@@ -238,7 +240,7 @@
     def test_lines_about_invalid_records_are_bounded(self) -> None:
         count = 2 * MAX_LOGGED_INVALID
         self.store.invalid = tuple(
-            InvalidRecord(number, f'x-{number}', 'y' * WIDE)
+            InvalidRecord(StorePosition(number), f'x-{number}', 'y' * WIDE)
             for number in range(count)
         )
         with patch('turmericpost.fleet.store_reader.log_event') as log_event:
--- a/packages/turmericpost-entry/tests/fleet/test_update_stream.py
+++ b/packages/turmericpost-entry/tests/fleet/test_update_stream.py
@@ -41,6 +41,7 @@
     OperatorChange,
 )
 from turmericpost_core.fleet.state_lag import BUSY
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import Vm
 
 SERVER_COUNT = 400
@@ -92,7 +93,9 @@
     ]
     state.directory.apply_records(records, 0)
     routes = tuple(map(route, range(ROUTE_COUNT)))
-    state.apply_operator_records([OperatorChange(0, _config(1, routes))], 1)
+    state.apply_operator_records(
+        [OperatorChange(0, _config(1, routes))], StorePosition(1)
+    )
     return state
 
 
@@ -123,7 +126,7 @@
         """The configuration has many routes, and one changes at a time."""
         routes = (route(0, 9), *map(route, range(1, ROUTE_COUNT)))
         change = OperatorChange(1, _config(2, routes))
-        self.state.apply_operator_records([change], 2)
+        self.state.apply_operator_records([change], StorePosition(2))
         self._assert_small()
 
     def _assert_small(self) -> None:
@@ -162,7 +165,7 @@
         )
         known = self.state.versions
         before = self.server.encoded_update(known)
-        directory.read_by_peer(SERVER_COUNT + 2)
+        directory.read_by_peer(StorePosition(SERVER_COUNT + 2))
         self.assertTrue(directory.is_settled)
         self.assertEqual(known, self.state.versions)
         self.assertNotEqual(self.server.encoded_update(known), before)
--- a/packages/turmericpost-entry/tests/hostile/isolated_datagrams.py
+++ b/packages/turmericpost-entry/tests/hostile/isolated_datagrams.py
@@ -11,12 +11,13 @@
 from tests.soak.vm_process import INTERNAL_PORT, VmProcess
 from turmericpost.fleet.message_codec import encode_message
 from turmericpost.fleet.messages import Digest, Heartbeat, StateVersion
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.domain_view import Vm, VmReadiness
 
 _COUNT = 20_000
 _BURST = 50
 _PAUSE_S = 0.02
-_VERSION = StateVersion(1.0, 1, (1, 0), 1)
+_VERSION = StateVersion(1.0, StorePosition(1), (1, 0), StorePosition(1))
 _VM = Vm('x', '127.91.250.1', 9, '127.91.250.1:9', 'nasr', 'cairo', 1)
 
 
--- a/packages/turmericpost-entry/tests/platform/test_backlog.py
+++ b/packages/turmericpost-entry/tests/platform/test_backlog.py
@@ -14,6 +14,7 @@
 from turmericpost.reactor_clock import ReactorClock
 from turmericpost.store.record_log import LogBatch
 from turmericpost_core.fleet.state import FleetState
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.membership.store_read_schedule import new_read_schedule
 
 VERSIONS = 25
@@ -32,8 +33,8 @@
 
     def __init__(self, store: StoreHarness) -> None:
         self.state = FleetState()
-        self.state.apply_operator_records((), 1)
-        self.state.directory.next_offset = 1
+        self.state.apply_operator_records((), StorePosition(1))
+        self.state.directory.next_offset = StorePosition(1)
         self.bytes = 0
         self._store = store
         self._reader = StoreReader(
@@ -134,7 +135,11 @@
     # Guards against records that are never read, since a response left out even
     # the first one and the next read goes on from the end of the store.
     def test_response_without_records_skips_none(self) -> None:
-        read = decode_keyed_read(3, LogBatch((), end_offset=9))
+        read = decode_keyed_read(
+            StorePosition(3), LogBatch((), end_offset=9)
+        ).unwrap()
         self.assertEqual((read.next_offset, read.end_offset), (3, 9))
-        rewound = decode_keyed_read(3, LogBatch((), end_offset=2))
+        rewound = decode_keyed_read(
+            StorePosition(3), LogBatch((), end_offset=2)
+        ).unwrap()
         self.assertEqual(rewound.next_offset, 2)
--- a/packages/turmericpost-entry/tests/platform/test_decoding.py
+++ b/packages/turmericpost-entry/tests/platform/test_decoding.py
@@ -39,6 +39,7 @@
 from turmericpost.platform.store_codec import KeyedRecord
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.state import FleetState, KnownVersions
+from turmericpost_core.fleet.store_position import StorePosition
 from turmericpost_core.grants.permits import (
     AttemptOutcome,
     AttemptReport,
@@ -80,12 +81,12 @@
     cold_left_s=0.5,
     started_ms=9,
 )
-_STATE_VERSION = StateVersion(0.5, 3, (7, 1), 9)
+_STATE_VERSION = StateVersion(0.5, StorePosition(3), (7, 1), StorePosition(9))
 
 
 def config_record(**changes: object) -> KeyedRecord:
     text = json.dumps({**CONFIG, **changes}).encode()
-    return KeyedRecord(0, 'config', text)
+    return KeyedRecord(StorePosition(0), 'config', text)
 
 
 class SettingsFileTest(unittest.TestCase):
@@ -139,15 +140,17 @@
             with self.subTest(changes):
                 decoded = decode_operator_record(config_record(**changes))
                 self.assertTrue(decoded.unwrap_err())
-        truncated_record = KeyedRecord(0, 'config', b'{"Version": 7, "Rou')
+        truncated_record = KeyedRecord(
+            StorePosition(0), 'config', b'{"Version": 7, "Rou'
+        )
         self.assertTrue(decode_operator_record(truncated_record).is_err())
-        unknown_record = KeyedRecord(0, 'other', b'{}')
+        unknown_record = KeyedRecord(StorePosition(0), 'other', b'{}')
         self.assertTrue(decode_operator_record(unknown_record).is_err())
 
     def test_update_contains_the_complete_configuration(self) -> None:
         change = decode_operator_record(config_record()).unwrap()
         state = FleetState()
-        state.apply_operator_records([change], 1)
+        state.apply_operator_records([change], StorePosition(1))
         update = state.update_since(KnownVersions())
         decoded_update = decode_update(encode_update(update)).unwrap()
         self.assertEqual(decoded_update, update)
--- a/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
+++ b/packages/turmericpost-entry/tests/platform/test_records_for_peers.py
@@ -26,6 +26,7 @@
 from turmericpost.store.record_log import LogBatch, LogRecord
 from turmericpost_core.fleet.backends import Backend
 from turmericpost_core.fleet.state import FleetState, KnownVersions
+from turmericpost_core.fleet.store_position import START, StorePosition
 from turmericpost_core.membership.domain_view import Vm
 
 _HALF_PAIRS = ('\ud83d', 'catalogue-\ud83d', '\udc00x', 'i-\udfff')
@@ -66,7 +67,7 @@
 
 
 def record(key: str, fields: object) -> KeyedRecord:
-    return KeyedRecord(7, key, json.dumps(fields).encode())
+    return KeyedRecord(StorePosition(7), key, json.dumps(fields).encode())
 
 
 def pass_on(state: FleetState) -> FleetState:
@@ -108,7 +109,7 @@
             with self.subTest(key):
                 appended = bytes((len(key),)) + key + payload
                 batch = LogBatch((LogRecord(7, appended),), 8)
-                (keyed,) = decode_keyed_read(0, batch).records
+                (keyed,) = decode_keyed_read(START, batch).unwrap().records
                 self.assertTrue(decode_registration(keyed).is_err())
 
     def test_keys_of_the_operator_that_are_no_text_are_invalid(self) -> None:
@@ -116,7 +117,7 @@
             key = b'evacuate/\xff'
             appended = bytes((len(key),)) + key + payload
             batch = LogBatch((LogRecord(7, appended),), 8)
-            (keyed,) = decode_keyed_read(0, batch).records
+            (keyed,) = decode_keyed_read(START, batch).unwrap().records
             self.assertTrue(decode_operator_record(keyed).is_err())
 
     def test_configurations_that_no_peer_could_get_are_invalid(self) -> None:
@@ -182,7 +183,7 @@
         if decoded.is_err():
             return
         state = FleetState()
-        state.apply_operator_records([decoded.unwrap()], 8)
+        state.apply_operator_records([decoded.unwrap()], StorePosition(8))
         self.assertEqual(pass_on(state).config, state.config)
 
     @given(
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -17,8 +17,9 @@
 from tests.platform.samples import ENTRY
 from turmericpost.fleet.store import Registrations, StoreOperationOutcome
 from turmericpost.platform.store_client import StoreClient
-from turmericpost.platform.store_codec import decode_era
+from turmericpost.platform.store_era import decode_era
 from turmericpost.store.errors import StoreError, StoreErrorKind
+from turmericpost_core.fleet.store_position import new_position
 from turmericpost_core.membership.domain_view import Vm
 from turmericpost_standins.store.partition import ProducerSequence
 from turmericpost_standins.store.service import StoreLimits, StoreService
@@ -82,9 +83,9 @@
 
         async def steps() -> list[bool]:
             client = store.client
-            read = await client.read_backends(0)
-            expired = await client.read_backends(5)
-            overloaded = await client.read_backends(0)
+            read = await client.read_backends(new_position(1, 0))
+            expired = await client.read_backends(new_position(1, 5))
+            overloaded = await client.read_backends(new_position(1, 0))
             store.service.faults.is_busy = True
             busy = await client.list_backends()
             store.service.era = None
@@ -123,7 +124,7 @@
         self.assertEqual(backends['b2'].cold_left_s, 1.5)
         self.assertEqual(backends['b2'].started_ms, 12)
         self.assertEqual(read.records[0].backend, None)
-        self.assertEqual(read.next_offset, 3)
+        self.assertEqual(read.next_offset, new_position(1, 3))
 
     def test_listing_reads_all_pages(self) -> None:
         store = StoreHarness(StoreLimits(max_page_rows=2))
@@ -131,7 +132,7 @@
             store.register(number)
         listed = store.run(store.client.list_backends).unwrap()
         self.assertEqual(len(listed.records), 5)
-        self.assertEqual(listed.next_offset, 5)
+        self.assertEqual(listed.next_offset, new_position(1, 5))
 
     def test_operations_are_counted_by_outcome(self) -> None:
         store = StoreHarness(StoreLimits(max_page_rows=2))
@@ -141,7 +142,7 @@
         async def steps() -> None:
             await store.client.list_backends()
             store.service.faults.is_busy = True
-            await store.client.read_backends(0)
+            await store.client.read_backends(new_position(1, 0))
 
         store.run(steps)
         self.assertEqual(
@@ -205,7 +206,9 @@
                 'evacuate/nasr',
                 b'{}',
             )
-            return await store.client.watch_operator(0, _WAIT_S)
+            return await store.client.watch_operator(
+                new_position(1, 0), _WAIT_S
+            )
 
         read = store.run(steps).unwrap()
         self.assertEqual(read.records[0].evacuated_domain, 'nasr')
@@ -216,7 +219,9 @@
 
         async def steps() -> Any:
             store.reactor.callLater(0.05, store.client.stop_watching)
-            return await store.client.watch_operator(0, _WAIT_S)
+            return await store.client.watch_operator(
+                new_position(1, 0), _WAIT_S
+            )
 
         self._assert_error_kind(store.run(steps), StoreErrorKind.NO_RESPONSE)
 
@@ -226,7 +231,7 @@
         store = StoreHarness()
         store.register(1)
         store.service.compact('keyed.servers')
-        read = store.run(lambda: store.client.read_backends(0))
+        read = store.run(lambda: store.client.read_backends(new_position(1, 0)))
         self._assert_error_kind(read, StoreErrorKind.EXPIRED)
         self.assertEqual(read.unwrap_err().earliest_offset, 1)
 
@@ -252,8 +257,8 @@
         store = StoreHarness(StoreLimits(reads_per_s=1))
 
         async def steps() -> Any:
-            await store.client.read_backends(0)
-            return await store.client.read_backends(0)
+            await store.client.read_backends(new_position(1, 0))
+            return await store.client.read_backends(new_position(1, 0))
 
         self._assert_error_kind(store.run(steps), StoreErrorKind.OVERLOADED)
 
--- a/packages/turmericpost-entry/tests/platform/test_unreadable_records.py
+++ b/packages/turmericpost-entry/tests/platform/test_unreadable_records.py
@@ -21,6 +21,7 @@
     decode_first_offset,
     decode_listing,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 
 _MANY_DIGITS = '9' * 400
 _TOO_MANY_DIGITS = '9' * 5000
@@ -29,14 +30,16 @@
 
 
 def registration(**changes: object) -> KeyedRecord:
-    return KeyedRecord(7, 'b1', json.dumps({**ENTRY, **changes}).encode())
+    return KeyedRecord(
+        StorePosition(7), 'b1', json.dumps({**ENTRY, **changes}).encode()
+    )
 
 
 def entries_with_number(name: str) -> Iterator[KeyedRecord]:
     for number in _NUMBERS:
         entry = json.dumps({**ENTRY, name: 'NUMBER'})
         text = entry.replace('"NUMBER"', number)
-        yield KeyedRecord(7, 'b1', text.encode())
+        yield KeyedRecord(StorePosition(7), 'b1', text.encode())
 
 
 class UnreadableRecordTest(unittest.TestCase):
@@ -44,15 +47,15 @@
 
     def test_deeply_nested_records_are_invalid(self) -> None:
         for payload in _DEEP:
-            record = KeyedRecord(7, 'b1', payload)
+            record = KeyedRecord(StorePosition(7), 'b1', payload)
             self.assertTrue(decode_registration(record).is_err())
             self.assertTrue(decode_vm(record).is_err())
-            config = KeyedRecord(7, 'config', payload)
+            config = KeyedRecord(StorePosition(7), 'config', payload)
             self.assertTrue(decode_operator_record(config).is_err())
 
     def test_deeply_nested_responses_of_the_store_are_errors(self) -> None:
         for body in _DEEP:
-            self.assertTrue(decode_listing(body).is_err())
+            self.assertTrue(decode_listing(body, None).is_err())
             self.assertTrue(decode_append(body).is_err())
             self.assertEqual(decode_first_offset(body), 0)
 
@@ -65,7 +68,7 @@
     def test_configuration_with_an_infinite_number_is_invalid(self) -> None:
         for number in _NUMBERS[:-1]:
             text = f'{{"Version":{number},"Routes":[],"Limits":{{}}}}'
-            record = KeyedRecord(7, 'config', text.encode())
+            record = KeyedRecord(StorePosition(7), 'config', text.encode())
             self.assertTrue(decode_operator_record(record).is_err())
 
     def test_addresses_that_cannot_be_connected_to_are_invalid(self) -> None:
@@ -94,7 +97,7 @@
         payload = registration().payload[:kept_bytes] + tail
         for decode in (decode_registration, decode_vm, decode_operator_record):
             for key in ('b1', 'config'):
-                decoded = decode(KeyedRecord(7, key, payload))
+                decoded = decode(KeyedRecord(StorePosition(7), key, payload))
                 self.assertTrue(decoded.is_ok() or decoded.unwrap_err())
 
 
