Only the store states its era to the reader; a wrong one leads to few listings

Found by reading again. The era in another VM's positions reached the reader, which then listed all that it had read in another era. One VM with a wrong, higher era would have let every reader list for good, the operator's records without a pause. And a wait that began before the return could set the era back.

The reader takes an era from the store's responses only, and never a lower one; if the state is still of another era after a listing, it pauses for a period. Another VM's era is logged as before. A VM that gets an update at its own position with an older configuration holds its own, and tells the others.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -174,6 +174,10 @@
             self._release(update.evacuated)
             self._stored_config = update.config_version
             self._update_out_of_service()
+        elif update.operator_offset == self.operator_offset:
+            self._stored_config = min(
+                self._stored_config or 0, update.config_version or 0
+            )
         outcome = self.directory.apply_update(update.registry)
         is_applied = self.versions != versions_before
         if is_applied and outcome is UpdateOutcome.UNCHANGED:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -131,21 +131,13 @@
             next_offset=self.state.directory.resume_offset,
         )
 
-    def era_stated(self, era: int | None, source: str = 'store') -> None:
-        """Record the era that the store or another VM states.
+    def era_stated(self, era: int) -> None:
+        """Record the era that the store states.
 
         If it has risen, the reader lists anew what this VM has read.
         """
-        was = self.store_era
-        if era is None or (was is not None and era <= was):
-            return
-        self.store_era = era
         self.reader.era_stated(era)
-        if was is not None:
-            log_event(
-                LogEvent.STORE_ERA_CHANGED, was=was, era=era, source=source
-            )
-            self.on_new_era()
+        self._record_era(era, 'store')
 
     def held_config_received(self, vm_name: str, version: int) -> None:
         """Record that another VM has a version that the store may lack."""
@@ -179,7 +171,7 @@
         """
         now_s = self._clock.monotonic_s()
         self.monitor.version_stated(vm.name, state_version)
-        self.era_stated(state_version.operator_offset.era, vm.name)
+        self._record_era(state_version.operator_offset.era, vm.name)
         is_same_domain = vm.failure_domain == self._view.own.failure_domain
         if is_same_domain:
             self._read_ages_s[vm.name] = (state_version.read_age_s, now_s)
@@ -247,6 +239,18 @@
             self._schedule.outdated_after_s,
         )
 
+    def _record_era(self, era: int | None, source: str) -> None:
+        """Log that the era has risen, and who told it first."""
+        was = self.store_era
+        if era is None or (was is not None and era <= was):
+            return
+        self.store_era = era
+        if was is not None:
+            log_event(
+                LogEvent.STORE_ERA_CHANGED, was=was, era=era, source=source
+            )
+            self.on_new_era()
+
     def _has_changed(
         self, before: KnownVersions, outcome: UpdateOutcome
     ) -> bool:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -108,10 +108,13 @@
         self._store.stop_watching()
 
     def era_stated(self, era: int) -> None:
-        """Record the era of the store, and end a wait in an earlier one.
+        """Record the era in a response, and end a wait in an earlier one.
 
-        What this VM has read in another era is listed anew.
+        What this VM has read in another era is listed anew. A wait that began
+        earlier may end with an earlier era.
         """
+        if self._era is not None and era <= self._era:
+            return
         self._era = era
         if self._is_of_other_era(self._state.operator_offset):
             self._store.stop_watching()
@@ -262,7 +265,8 @@
             return self._operator_read_failed(read_result.unwrap_err())
         self._operator_failures = 0
         self._apply_operator(read_result.unwrap(), begun_s, is_listing)
-        return 0
+        is_older = self._is_of_other_era(self._state.operator_offset)
+        return self._schedule.period_s if is_older else 0
 
     def _operator_read_failed(self, error: StoreError) -> float:
         """Handle a failed read; return the seconds to wait before the next one.
--- a/packages/turmericpost-entry/tests/fleet/test_state_sync.py
+++ b/packages/turmericpost-entry/tests/fleet/test_state_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from twisted.internet.testing import MemoryReactorClock
@@ -24,7 +25,11 @@
     BackendDirectory,
 )
 from turmericpost_core.fleet.state import FleetState, KnownVersions
-from turmericpost_core.fleet.store_position import START, StorePosition
+from turmericpost_core.fleet.store_position import (
+    START,
+    StorePosition,
+    new_position,
+)
 from turmericpost_core.membership.catch_up import TAKEOVER_S
 from turmericpost_core.membership.domain_view import (
     DomainView,
@@ -247,6 +252,67 @@
         self.assertEqual(store.calls, before)
         self.assertEqual(store.calls['list-operator'], 1)
 
+    # Guards against a VM that keeps an older configuration, since the store has
+    # given its position to another one and no position tells which is newer.
+    def test_configuration_that_the_store_lost_is_fetched(self) -> None:
+        self._push(self.sender_state.update_since(KnownVersions()))
+        version = self.sender_state.versions.config or 0
+        self._hear_held_config(version)
+        self.assertEqual(len(self.reactor.tcpClients), 0)
+        self._hear_held_config(version + 1)
+        self.assertEqual(len(self.reactor.tcpClients), 1)
+
+    # Guards against a final refusal of a route that another VM knows, and
+    # against none for as long as this VM runs if that VM is lost.
+    def test_vm_is_behind_while_another_holds_a_newer_configuration(
+        self,
+    ) -> None:
+        self._push(self.sender_state.update_since(KnownVersions()))
+        version = self.sender_state.versions.config or 0
+        self._hear_held_config(version)
+        self.assertIsNone(self.state_sync.retry_after_behind_s())
+        self._hear_held_config(version + 1)
+        self.assertIsNotNone(self.state_sync.retry_after_behind_s())
+        self.state_sync.vms_lost(['near'])
+        self.assertIsNone(self.state_sync.retry_after_behind_s())
+
+    # Guards against a push whose configuration is newer, but whose position is
+    # not, and that is never followed by a fetch.
+    def test_push_that_lacks_a_newer_configuration_leads_to_a_fetch(
+        self,
+    ) -> None:
+        self._push(self.sender_state.update_since(KnownVersions()))
+        update = self.sender_state.update_since(self.state_sync.state.versions)
+        newer = (update.config_version or 0) + 1
+        self._push(replace(update, config_version=newer))
+        teller, stated = vm('teller'), self.state_sync.state_version()
+        self.state_sync.state_version_received(teller, stated)
+        self.assertEqual(len(self.reactor.tcpClients), 1)
+
+    # Guards against one VM that states a wrong era and lets all others list
+    # the store again and again.
+    def test_era_of_another_vm_says_nothing_of_the_store(self) -> None:
+        self.state_sync.era_stated(1)
+        with (
+            patch.object(self.state_sync.reader, 'era_stated') as era_stated,
+            patch('turmericpost.fleet.state_sync.log_event') as logged,
+        ):
+            for name in ('near', 'far'):
+                self.state_sync.state_version_received(
+                    vm(name), StateVersion(0, new_position(9, 1), (0, 0), START)
+                )
+        era_stated.assert_not_called()
+        logged.assert_called_once_with(
+            LogEvent.STORE_ERA_CHANGED, was=1, era=9, source='near'
+        )
+
+    def _hear_held_config(self, version: int) -> None:
+        """Hear of a configuration from a VM whose positions are the same."""
+        self.state_sync.held_config_received('near', version)
+        self.state_sync.state_version_received(
+            vm('near'), self.state_sync.state_version()
+        )
+
     def _hear_again_and_again(self) -> None:
         """Hear of a newer version for longer than a takeover lasts."""
         for _ in range(int(2 * TAKEOVER_S)):
