What was known of servers in an earlier era is held beside the registry

A second return within 15 s forgot what had left, and evacuations; a draining server that the copy lacked was used when its older entry was written again. Only the VM that had listed the copy told of a configuration that the store had lost.

Cause: these facts were mixed into the registry, so two VMs with the same records of the store had different registries of equal or better version. Now the registry of a new era is what the store lists, on all VMs alike, and each VM holds what it knew beside it (EarlierEra): servers that had left, and those that may register again, from the moment at which it learns the era, by whichever way. A later return holds it anew. A VM that took a later era from another one counts its configuration as not confirmed for 15 s, and tells it.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -14,16 +14,13 @@
     apply_changes,
     directory_digest,
 )
-from turmericpost_core.fleet.departures import Departures
+from turmericpost_core.fleet.earlier_era import (
+    REREGISTRATION_GRACE_S,
+    EarlierEra,
+    EarlierServers,
+)
 from turmericpost_core.fleet.store_position import START, StorePosition
 
-REREGISTRATION_GRACE_S = 2.5
-"""Seconds that servers need to register again after an outage of the store.
-
-The documentation of the platform says about two seconds; another half a
-second covers the period of store reads.
-"""
-
 _DIGEST_BITS = 32
 
 
@@ -58,8 +55,7 @@
     VMs compare ``version`` to find out whose registry is newer. It consists of
     the position after the last record that changed anything, and a number that
     grows with each later change that no newer record made. ``withheld`` are
-    ids of servers that are not used: their removals are due, but not confirmed
-    by a read since, or they left in an earlier era of the store.
+    ids of servers whose removals are due, but not confirmed by a read since.
     """
 
     def __init__(self) -> None:
@@ -68,9 +64,10 @@
         self.next_offset = START
         self.withheld: frozenset[str] = frozenset()
         self._grace_until_s = float(0)
+        self._must_start_grace = False
         self._removals: dict[str, _Removal] = {}
         self._change_log = ChangeLog()
-        self._departures = Departures()
+        self._earlier_era = EarlierEra()
 
     @property
     def resume_offset(self) -> StorePosition:
@@ -82,6 +79,17 @@
         offsets = (removal.offset for removal in self._removals.values())
         return min((self.next_offset, *offsets))
 
+    @property
+    def earlier_servers(self) -> EarlierServers:
+        """Servers as known before the era of the store changed."""
+        return self._earlier_era.servers
+
+    def in_use(self) -> Iterator[Backend]:
+        """Yield the servers that have neither left nor are withheld."""
+        for backend in self.earlier_servers.in_use(self.backends):
+            if backend.backend_id not in self.withheld:
+                yield backend
+
     @property
     def logged_version(self) -> tuple[int, int]:
         """Offset and number of the version, without its era."""
@@ -123,6 +131,7 @@
 
         Called after an outage of the store, when servers register again.
         """
+        self._must_start_grace = False
         self._grace_until_s = now_s + REREGISTRATION_GRACE_S
 
     def apply_records(
@@ -132,6 +141,7 @@
 
         Records before ``next_offset`` are skipped.
         """
+        self._start_grace_of_era(now_s)
         changed = False
         for record in records:
             if record.offset >= self.next_offset:
@@ -148,16 +158,18 @@
         """Replace the registry by a full listing; return whether it changed.
 
         Used if the store has already deleted records that were not yet read, or
-        has returned from a copy. Servers that the copy lacks may register again.
-        A listing older than the current state is ignored.
+        has returned from a copy. A listing older than the current state is
+        ignored.
         """
-        if next_offset < self.next_offset:
+        if next_offset < max(self.next_offset, self.version[0]):
             return False
         listed = tuple(records)
         is_new_era = next_offset.era != self.era
-        if is_new_era and self.backends:
-            self.start_reregistration_grace(now_s)
-            self._departures.begin_era(self.backends.values())
+        if is_new_era:
+            self._begin_era()
+            self._removals.clear()
+            self.backends = {}
+        self._start_grace_of_era(now_s)
         version_before = self.version
         gap = (self.next_offset, next_offset)
         present = {entry.backend_id for entry in listed if entry.backend}
@@ -209,22 +221,22 @@
         if not self.lacks(update.version, update.next_offset):
             return UpdateOutcome.UNCHANGED
         is_full = update.base is None
-        previous = self.backends.values()
-        is_new_era = StorePosition(update.version[0]).era != self.era
         previous_backends = {} if is_full else self.backends
         new_backends = apply_changes(previous_backends, update.changes)
         if directory_digest(new_backends.values()) != update.digest:
             return UpdateOutcome.MISMATCH
+        is_new_era = StorePosition(update.version[0]).era != self.era
         if is_new_era:
-            self._departures.begin_era(previous)
-        self._departures.record_removals(
-            known for known in previous if known.backend_id not in new_backends
-        )
+            self._begin_era()
+        else:
+            self._earlier_era.record_removals(
+                known
+                for known in self.backends.values()
+                if known.backend_id not in new_backends
+            )
         self.backends = new_backends
         self.version = update.version
         self.next_offset = update.next_offset
-        if is_new_era:
-            self.withheld |= self._departures.ids_in(new_backends)
         if is_full:
             self._removals.clear()
             self._change_log.reset(self.version)
@@ -249,18 +261,20 @@
         }
 
     def withhold(self, now_s: float) -> bool:
-        """Update ``withheld``; return whether it has changed.
+        """Update what is not used; return whether it has changed.
 
         Only a read after the grace time tells whether a server is registered
         again. Without one, this VM does not use the server, and leaves the
         registry as it is.
         """
-        departed = self._departures.still_registered(self.backends, now_s)
-        withheld = departed.union(self._due_ids(now_s))
-        if withheld == self.withheld:
-            return False
-        self.withheld = withheld
-        return True
+        earlier_servers = self.earlier_servers
+        self._start_grace_of_era(now_s)
+        self._earlier_era.expire(self.backends, now_s)
+        withheld = frozenset(self._due_ids(now_s))
+        is_changed = withheld != self.withheld
+        if is_changed:
+            self.withheld = withheld
+        return is_changed or self.earlier_servers is not earlier_servers
 
     def expire(self, read_s: float) -> bool:
         """Drop registrations that were missing after the grace time.
@@ -280,6 +294,16 @@
             )
         return bool(expired_ids)
 
+    def _begin_era(self) -> None:
+        """Hold what is known against the copy that the store returned from."""
+        self._earlier_era.begin_era(self.backends)
+        self._must_start_grace = bool(self.backends)
+
+    def _start_grace_of_era(self, now_s: float) -> None:
+        """Give servers time to register again in an era that has begun."""
+        if self._must_start_grace:
+            self.start_reregistration_grace(now_s)
+
     def _due_ids(self, now_s: float) -> list[str]:
         return [
             backend_id
@@ -362,7 +386,7 @@
     def _drop(self, backend_id: str) -> None:
         known = self.backends.get(backend_id)
         if known is not None:
-            self._departures.record_removals((known,))
+            self._earlier_era.record_removals((known,))
         self.backends = {
             key: kept_backend
             for key, kept_backend in self.backends.items()
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -9,8 +9,11 @@
 from turmericpost_core.fleet.backends import Backend, Version
 from turmericpost_core.fleet.changes import RegistryUpdate
 from turmericpost_core.fleet.config_updates import ConfigHistory, ConfigUpdate
-from turmericpost_core.fleet.departures import DEPARTURE_HOLD_S
 from turmericpost_core.fleet.directory import BackendDirectory, UpdateOutcome
+from turmericpost_core.fleet.earlier_era import (
+    EARLIER_ERA_HOLD_S,
+    EarlierServers,
+)
 from turmericpost_core.fleet.operator_config import (
     OperatorConfig,
     RouteIndex,
@@ -62,7 +65,7 @@
     ``evacuated`` are the failure domains that the operator's records name, and
     ``out_of_service`` those whose backend servers are not used. If the store
     returns from a copy, a domain that was evacuated before stays out of service
-    for ``DEPARTURE_HOLD_S``, and the configuration in force until there is a
+    for ``EARLIER_ERA_HOLD_S``, and the configuration in force until there is a
     newer one.
     """
 
@@ -73,9 +76,12 @@
         self.directory = BackendDirectory()
         self._configs = ConfigHistory()
         self._stored_config: int | None = None
+        self._unconfirmed_until_s: float | None = None
         self.out_of_service: frozenset[str] = frozenset()
         self._held_until_s: dict[str, float] = {}
-        self._usable = _UsableBackends({}, frozenset(), frozenset())
+        self._usable = _UsableBackends(
+            {}, EarlierServers({}, {}), frozenset(), frozenset()
+        )
 
     @property
     def config(self) -> OperatorConfig | None:
@@ -94,19 +100,31 @@
 
     @property
     def held_config(self) -> int | None:
-        """The version in force if the store may have lost it, else ``None``."""
+        """The version in force if the store may have lost it, else ``None``.
+
+        A VM that has not read the store since counts on it for
+        ``EARLIER_ERA_HOLD_S``.
+        """
         in_force = self.versions.config
-        if in_force is None or self._stored_config is None:
-            return None
-        return in_force if in_force > self._stored_config else None
+        if in_force is None or self._unconfirmed_until_s is not None:
+            return in_force
+        is_stored = in_force <= (self._stored_config or in_force)
+        return None if is_stored else in_force
 
     def withhold(self, now_s: float) -> bool:
         """Update what is held from an earlier era; return whether it changed."""
         self._held_until_s = {
-            domain: min(until_s, now_s + DEPARTURE_HOLD_S)
+            domain: min(until_s, now_s + EARLIER_ERA_HOLD_S)
             for domain, until_s in self._held_until_s.items()
             if now_s < until_s
         }
+        unconfirmed_until_s = self._unconfirmed_until_s
+        if unconfirmed_until_s is not None:
+            self._unconfirmed_until_s = (
+                min(unconfirmed_until_s, now_s + EARLIER_ERA_HOLD_S)
+                if now_s < unconfirmed_until_s
+                else None
+            )
         is_changed = self._update_out_of_service()
         return self.directory.withhold(now_s) or is_changed
 
@@ -172,12 +190,7 @@
             self.operator_offset = update.operator_offset
             self.evacuated = update.evacuated
             self._release(update.evacuated)
-            self._stored_config = update.config_version
             self._update_out_of_service()
-        elif update.operator_offset == self.operator_offset:
-            self._stored_config = min(
-                self._stored_config or 0, update.config_version or 0
-            )
         outcome = self.directory.apply_update(update.registry)
         is_applied = self.versions != versions_before
         if is_applied and outcome is UpdateOutcome.UNCHANGED:
@@ -199,6 +212,7 @@
         """Return the usable servers, computed anew only after a change."""
         basis = (
             self.directory.backends,
+            self.directory.earlier_servers,
             self.out_of_service,
             self.directory.withheld,
         )
@@ -217,9 +231,11 @@
         if position.era == self.operator_offset.era:
             return False
         self._held_until_s.update(
-            (domain, float('inf')) for domain in self.evacuated
+            (domain, float('inf')) for domain in self.out_of_service
         )
-        self._stored_config = 0
+        if self.config is not None:
+            self._stored_config = None
+            self._unconfirmed_until_s = float('inf')
         return True
 
     def _update_out_of_service(self) -> bool:
@@ -250,6 +266,7 @@
     def _apply(self, change: OperatorChange) -> bool:
         if change.config is not None:
             self._stored_config = change.config.version
+            self._unconfirmed_until_s = None
             return self._install(change.config)
         before = self.evacuated
         domains = frozenset((change.evacuated_domain,))
@@ -272,13 +289,14 @@
     def __init__(
         self,
         registered: Mapping[str, Backend],
+        earlier_servers: EarlierServers,
         evacuated: frozenset[str],
         withheld: frozenset[str],
     ) -> None:
-        self.basis = (registered, evacuated, withheld)
+        self.basis = (registered, earlier_servers, evacuated, withheld)
         self.backends = tuple(
             backend
-            for backend in registered.values()
+            for backend in earlier_servers.in_use(registered)
             if not backend.is_draining
             and backend.failure_domain not in evacuated
             and backend.backend_id not in withheld
