An ignored listing is no read; a VM without an era is not relied on

Found by the review, with failing tests. A listing that is older than the state, and therefore ignored, confirmed removals and counted as a read of the newest records. A store that ends before a VM's position was listed ten times a second (79 listings in 10 s by one reader). Unknown routes were answered as not yet known for as long as a VM ran that had once stated a newer configuration. A VM of an earlier release, which states no era, was relied on as the reader although nothing that it states counts as newer. A wrong era of a VM hid a true one.

An ignored listing changes nothing and is followed by a pause of a read period. A stated configuration counts for 3 s. Read ages count only of VMs whose registry is of this VM's era or a later one. The era that the store states is recorded by itself.

--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -25,7 +25,7 @@
     StateWay,
     is_outdated,
 )
-from turmericpost_core.fleet.store_position import StorePosition
+from turmericpost_core.fleet.store_position import StorePosition, new_position
 from turmericpost_core.membership.catch_up import CatchUp
 from turmericpost_core.membership.domain_view import DomainView, Vm
 from turmericpost_core.membership.store_read_schedule import (
@@ -43,6 +43,12 @@
 MAX_READ_AGE_S = 999.0
 """Upper limit of the read age in messages, also sent if there was no read."""
 
+STATED_CONFIG_S = 3.0
+"""Time for which a configuration counts that another VM said to hold.
+
+It says so in each heartbeat, of which one a second may be the slowest pace.
+"""
+
 STARTUP_READ_DELAY_S = 0.3
 """Time after the start of a VM in which only seed VMs read the store.
 
@@ -119,7 +125,8 @@
         self._read_ages_s: dict[str, tuple[float, float]] = {}
         self._newer_since_s: dict[str, float] = {}
         self._operator_offsets: dict[str, StorePosition] = {}
-        self._stated_configs: dict[str, int] = {}
+        self._stated_configs: dict[str, tuple[int, float]] = {}
+        self._logged_era: int | None = None
 
     def state_version(self) -> StateVersion:
         """Return the version of this VM's state for heartbeats."""
@@ -137,11 +144,18 @@
         If it has risen, the reader lists anew what this VM has read.
         """
         self.reader.era_stated(era)
-        self._record_era(era, 'store')
+        was = self.store_era
+        if was is None or era > was:
+            self.store_era = era
+            self._era_risen(was, era, 'store')
 
     def held_config_received(self, vm_name: str, version: int) -> None:
-        """Record that another VM has a version that the store may lack."""
-        self._stated_configs[vm_name] = version
+        """Record that another VM has a version that the store may lack.
+
+        It says so again and again for as long as it has it.
+        """
+        now_s = self._clock.monotonic_s()
+        self._stated_configs[vm_name] = (version, now_s)
 
     def is_reader(self) -> bool:
         """Return whether this VM should read the store now.
@@ -171,11 +185,12 @@
         """
         now_s = self._clock.monotonic_s()
         self.monitor.version_stated(vm.name, state_version)
-        self._record_era(state_version.operator_offset.era, vm.name)
+        self._era_risen(
+            self.store_era, state_version.operator_offset.era, vm.name
+        )
         is_same_domain = vm.failure_domain == self._view.own.failure_domain
         if is_same_domain:
-            self._read_ages_s[vm.name] = (state_version.read_age_s, now_s)
-            self.reader.peer_has_read(now_s - state_version.read_age_s)
+            self._record_read_age(vm.name, state_version)
             self._operator_offsets[vm.name] = state_version.operator_offset
         if not self._is_newer(vm, state_version):
             self._newer_since_s.pop(vm.failure_domain, None)
@@ -207,7 +222,7 @@
         self.monitor.update_received(StateWay.PUSH, sender, update)
         outcome = self.state.apply_update(update)
         if outcome is UpdateOutcome.MISMATCH:
-            self._stated_configs[sender] = update.config_version or 0
+            self.held_config_received(sender, update.config_version or 0)
             self.monitor.failed(StateWay.PUSH, MISMATCH, vm=sender)
         if self._has_changed(versions_before, outcome):
             self._state_changed(sender)
@@ -239,18 +254,33 @@
             self._schedule.outdated_after_s,
         )
 
-    def _record_era(self, era: int | None, source: str) -> None:
-        """Log that the era has risen, and who told it first."""
-        was = self.store_era
-        if era is None or (was is not None and era <= was):
+    def _era_risen(self, was: int | None, era: int | None, source: str) -> None:
+        """Log once that the era has risen, with who told it first."""
+        if was is None or era is None or era <= was:
             return
-        self.store_era = era
-        if was is not None:
+        if era != self._logged_era:
+            self._logged_era = era
             log_event(
                 LogEvent.STORE_ERA_CHANGED, was=was, era=era, source=source
             )
             self.on_new_era()
 
+    def _record_read_age(
+        self, vm_name: str, state_version: StateVersion
+    ) -> None:
+        """Record when another VM of the domain has read the store.
+
+        What it reads in an earlier era never counts as newer here, so this VM
+        can't rely on it. An earlier release states no era.
+        """
+        era_begin = new_position(self.state.directory.era, 0)
+        if state_version.backends[0] < era_begin:
+            self._read_ages_s.pop(vm_name, None)
+            return
+        now_s = self._clock.monotonic_s()
+        self._read_ages_s[vm_name] = (state_version.read_age_s, now_s)
+        self.reader.peer_has_read(now_s - state_version.read_age_s)
+
     def _has_changed(
         self, before: KnownVersions, outcome: UpdateOutcome
     ) -> bool:
@@ -284,8 +314,12 @@
 
     def _lacks(self, vm_name: str) -> bool:
         """Return whether another VM has stated a newer configuration."""
-        stated = self._stated_configs.get(vm_name, 0)
-        return stated > (self.state.versions.config or 0)
+        if vm_name not in self._stated_configs:
+            return False
+        version, stated_s = self._stated_configs[vm_name]
+        if self._clock.monotonic_s() - stated_s > STATED_CONFIG_S:
+            return False
+        return version > (self.state.versions.config or 0)
 
     def _is_newer(self, vm: Vm, state_version: StateVersion) -> bool:
         state = self.state
--- a/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/store_reader.py
@@ -23,7 +23,7 @@
 from turmericpost.observe.events import LogEvent, log_event
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost_core.clock import Clock
-from turmericpost_core.fleet.directory import REREGISTRATION_GRACE_S
+from turmericpost_core.fleet.earlier_era import REREGISTRATION_GRACE_S
 from turmericpost_core.fleet.state import FleetState
 from turmericpost_core.fleet.state_lag import StatePart
 from turmericpost_core.fleet.store_position import StorePosition
@@ -200,6 +200,9 @@
         directory = self._state.directory
         now_s = self._clock.monotonic_s()
         postponed_before = directory.postponed_s
+        is_older = is_listing and read_result.next_offset < max(
+            directory.next_offset, directory.version[0]
+        )
         if is_listing:
             changed = directory.resync(
                 read_result.records, read_result.next_offset, now_s
@@ -210,7 +213,7 @@
                 directory.next_offset,
                 read_result.next_offset,
             )
-        if read_result.is_complete:
+        if read_result.is_complete and not is_older:
             self.last_read_s = begun_s
             changed = self._confirm_removals(begun_s) or changed
             self._callbacks.was_read(StatePart.REGISTRY, begun_s)
@@ -265,8 +268,11 @@
             return self._operator_read_failed(read_result.unwrap_err())
         self._operator_failures = 0
         self._apply_operator(read_result.unwrap(), begun_s, is_listing)
-        is_older = self._is_of_other_era(self._state.operator_offset)
-        return self._schedule.period_s if is_older else 0
+        is_ignored = read_result.unwrap().next_offset < offset
+        is_ignored = is_ignored or self._is_of_other_era(
+            self._state.operator_offset
+        )
+        return self._schedule.period_s if is_ignored else 0
 
     def _operator_read_failed(self, error: StoreError) -> float:
         """Handle a failed read; return the seconds to wait before the next one.
@@ -298,7 +304,8 @@
         self._needs_operator_listing = not read_result.is_complete
         self._has_operator_listing = True
         self._log_if_incomplete(StatePart.OPERATOR, read_result, begun_s)
-        if read_result.is_complete:
+        is_older = read_result.next_offset < self._state.operator_offset
+        if read_result.is_complete and not is_older:
             self._callbacks.was_read(StatePart.OPERATOR, begun_s)
         self._log_invalid(read_result.invalid)
         apply_records = self._state.apply_operator_records
