Read the configuration log again when the store returns older

Cause: the follower kept an offset without its era.

Change: the position includes the era. Another era, or a 410 whose earliest offset lies before the wanted one, is LOG_WENT_BACK (now with both eras): the log is read again from its earliest record, the revision in force is kept and has_lost_records is set. Records that expired after they had been read are no gap. A gap is found anew in the log that returned. Changes below the revision in force that are read again get no second verdict, since those that had left the history were judged again as conflicts.

--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -23,6 +23,7 @@
     decode_record,
 )
 from turmericpost_core.config.snapshots import LogStatus
+from turmericpost_core.fleet.store_position import START, new_position
 
 _POLL_TIMEOUT_S = 5
 _RETRY_DELAY_S = 0.5
@@ -37,6 +38,10 @@
     ``on_change`` is called with each new revision. Records of the log are
     reported only after the log has been read to its end once, because the
     revisions before it are outdated.
+
+    If the store returns from an older copy, the log is read again from its
+    start. The revision in force is kept, and ``log_status`` says that the log
+    may lack it until a snapshot has it.
     """
 
     def __init__(
@@ -53,7 +58,8 @@
         self._log = log
         self._stream = stream
         self._on_change = on_change
-        self._next_offset = 0
+        self._next = START
+        self._replay_end_offset: int | None = None
         self._has_gap = False
         self._gap_end_offset = 0
         self._is_reachable = True
@@ -77,7 +83,7 @@
         has been reached.
         """
         wait_s = wait_s if self.has_caught_up else 0
-        batch = await self._log.read(self._stream, self._next_offset, wait_s)
+        batch = await self._log.read(self._stream, self._next.offset, wait_s)
         if batch.is_ok():
             self._mark_reachable()
             self._process_batch(batch.unwrap())
@@ -96,7 +102,7 @@
     @property
     def folded_offset(self) -> int:
         """Offset of the next record to read; all earlier ones are applied."""
-        return self._next_offset
+        return self._next.offset
 
     def adopt(self, received: Configuration) -> None:
         """Adopt the configuration of a peer if its revision is higher.
@@ -119,23 +125,48 @@
             self.log_status = LogStatus(record.published_at_utc)
 
     def _process_batch(self, batch: LogBatch) -> None:
-        if batch.end_offset < self._next_offset:
-            log_event(
-                LogEvent.LOG_WENT_BACK,
-                wanted=self._next_offset,
-                end=batch.end_offset,
-            )
-            self._next_offset = 0
-            self.log_status = LogStatus(has_lost_records=True)
+        if self._next == START:
+            self._next = new_position(batch.era, 0)
+        is_same_log = self._next.is_of_era(batch.era)
+        if batch.end_offset < self._next.offset or not is_same_log:
+            self._go_back(batch.era, 0, batch.end_offset)
             return
         for record in batch.records:
-            self._next_offset = record.offset + 1
+            self._next = new_position(batch.era, record.offset + 1)
             self._apply(record)
-            if self._next_offset <= record.offset:
+            if self._next.offset <= record.offset:
                 return
-        if self._next_offset >= batch.end_offset:
+        if self._next.offset >= batch.end_offset:
             self._mark_caught_up()
 
+    def _go_back(
+        self, era: int | None, earliest_offset: int, end_offset: int | None
+    ) -> None:
+        """Begin to read again a log that has lost its latest records.
+
+        Of the records before the last one read, those that expire meanwhile are
+        not missed.
+        """
+        log_event(
+            LogEvent.LOG_WENT_BACK,
+            wanted=self._next.offset,
+            end=end_offset,
+            old_era=self._next.era,
+            era=era,
+        )
+        was_read = 0 if self._has_gap else self._next.offset
+        self._replay_end_offset = max(self._replay_end_offset or 0, was_read)
+        self._has_gap = False
+        self.log_status = LogStatus(has_lost_records=True)
+        self._next = new_position(era, 0)
+        self._skip_expired(earliest_offset)
+
+    def _skip_expired(self, earliest_offset: int) -> None:
+        """Continue at the earliest record that the log still has."""
+        if earliest_offset > (self._replay_end_offset or 0):
+            self._start_gap(earliest_offset)
+        self._next = new_position(self._next.era, earliest_offset)
+
     def _start_gap(self, gap_end_offset: int) -> None:
         self._has_gap = True
         self._gap_end_offset = gap_end_offset
@@ -153,11 +184,12 @@
         if record.folded_offset < self._gap_end_offset:
             return False
         self._has_gap = False
-        self._next_offset = record.folded_offset
+        self._next = new_position(self._next.era, record.folded_offset)
         return True
 
     def _mark_caught_up(self) -> None:
         """Report the configuration once the log has been read to its end."""
+        self._replay_end_offset = None
         if not self.has_caught_up:
             self.has_caught_up = True
             self._on_change(self.configuration)
@@ -179,6 +211,8 @@
             self._start_gap(record.offset)
         if self.has_gap and not self._try_close_gap(decoded.unwrap()):
             return
+        if self._was_evaluated(decoded.unwrap()):
+            return
         self.record_snapshot(decoded.unwrap())
         updated_configuration = apply_record(
             previous_configuration, decoded.unwrap()
@@ -191,6 +225,17 @@
         ):
             self._on_change(updated_configuration)
 
+    def _was_evaluated(self, record: ConfigurationRecord) -> bool:
+        """Return whether a change read again may have been evaluated before.
+
+        Its verdict can't be found again from the revision in force.
+        """
+        return (
+            self._replay_end_offset is not None
+            and record.kind is RecordKind.CHANGE
+            and record.base_revision < self.configuration.revision
+        )
+
     def _log_refused_change(
         self,
         previous_configuration: Configuration,
@@ -216,14 +261,27 @@
 
     def _handle_error(self, error: StoreError) -> None:
         if error.kind is StoreErrorKind.EXPIRED:
-            log_event(
-                LogEvent.LOG_EXPIRED,
-                wanted=self._next_offset,
-                earliest=error.earliest_offset,
-            )
-            self._next_offset = error.earliest_offset
-            self._start_gap(error.earliest_offset)
+            self._handle_expired(error)
             return
         if self._is_reachable:
             log_event(LogEvent.LOG_UNREACHABLE, detail=error.detail)
         self._is_reachable = False
+
+    def _handle_expired(self, error: StoreError) -> None:
+        """Continue at the earliest record.
+
+        If it comes before the one wanted, or is of another era, the log has
+        lost records.
+        """
+        if self._next == START:
+            self._next = new_position(error.era, 0)
+        is_same_log = self._next.is_of_era(error.era)
+        if error.earliest_offset < self._next.offset or not is_same_log:
+            self._go_back(error.era, error.earliest_offset, None)
+            return
+        log_event(
+            LogEvent.LOG_EXPIRED,
+            wanted=self._next.offset,
+            earliest=error.earliest_offset,
+        )
+        self._skip_expired(error.earliest_offset)
