--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -171,17 +171,18 @@
         self._has_gap = True
         self._gap_end_offset = gap_end_offset
 
-    def _try_close_gap(self, record: ConfigurationRecord) -> bool:
+    def _try_close_gap(self, record: ConfigurationRecord, offset: int) -> bool:
         """End the gap if a snapshot covers all missing records; return whether.
 
         Reading then continues at the first record that the snapshot does not
-        cover, so that no change is left out.
+        cover, so that no change is left out. A snapshot of records that come
+        after it was made of a log that has been lost since.
         """
         if record.kind is not RecordKind.SNAPSHOT:
             return False
         if record.base_revision < self.configuration.revision:
             return False
-        if record.folded_offset < self._gap_end_offset:
+        if not self._gap_end_offset <= record.folded_offset <= offset:
             return False
         self._has_gap = False
         self._next = new_position(self._next.era, record.folded_offset)
@@ -209,7 +210,9 @@
             and not self.has_gap
         ):
             self._start_gap(record.offset)
-        if self.has_gap and not self._try_close_gap(decoded.unwrap()):
+        if self.has_gap and not self._try_close_gap(
+            decoded.unwrap(), record.offset
+        ):
             return
         if self._was_evaluated(decoded.unwrap()):
             return
--- a/packages/turmericpost-entry/tests/configlog/test_log_went_back.py
+++ b/packages/turmericpost-entry/tests/configlog/test_log_went_back.py
@@ -139,6 +139,16 @@
         self.assertTrue(self.reader.follower.log_status.has_lost_records)
         self.assertEqual(self.reader.reported_revisions[-1], 4)
 
+    # Guards against a snapshot written for an offset of the lost log, which
+    # makes a reader pass over records that the snapshot does not include.
+    def test_snapshot_of_a_lost_log_ends_no_gap(self) -> None:
+        self._publish(8)
+        self.log.return_without_last(5)
+        self.log.expire_before(1)
+        run_to_end(self.writer.snapshots.write(0))
+        late = self._start_vm()
+        self.assertTrue(late.follower.has_gap)
+
     def _write_snapshot(self, vm: LogVm) -> None:
         run_to_end(vm.snapshots.write_if_due())
 
