An append returns the position of its record

Cause: StoreClient.append returned an offset; whether it counts in the era that the caller knows could only be told from the answers around it.

Change: the answer of an append gives a position, with the era that the same answer states; without the header it is the plain offset, as before. The test of the client's append now also asserts the era.

--- a/packages/turmericpost-entry/src/turmericpost/forward/claims.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/claims.py
@@ -61,7 +61,7 @@
         )
         stream = claim_stream_name(operation_id)
         appended = await self._log.append(stream, encode_claim(claim))
-        if appended.is_ok() and appended.unwrap() == 0:
+        if appended.is_ok() and appended.unwrap().offset == 0:
             return Ok(_claimed_key(claim, is_new=True))
         if append_had_no_effect(appended):
             return Err(RefusalReason.KEY_CLAIM_UNAVAILABLE)
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_client.py
@@ -208,12 +208,14 @@
         self,
         stream: str,
         record: bytes,
-    ) -> Result[int, StoreError]:
-        """Append a record without key and return its offset."""
+    ) -> Result[StorePosition, StoreError]:
+        """Append a record without key and return its position."""
         query = _request_target('log-append', Topic=stream, part=0)
         request = HttpRequest('POST', query, encode_record(record))
         answer = await self._call('append', request, CALL_TIMEOUT_S)
-        return answer.and_then(lambda response: decode_append(response.body))
+        return answer.and_then(
+            lambda response: decode_append(response.body, response.era)
+        )
 
     async def read(
         self,
--- a/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
+++ b/packages/turmericpost-entry/src/turmericpost/platform/store_codec.py
@@ -113,12 +113,17 @@
         return Err(_malformed_response(str(error)))
 
 
-def decode_append(body: bytes) -> Result[int, StoreError]:
-    """Decode the response to an append: the offset of the record."""
+def decode_append(
+    body: bytes, era: int | None = None
+) -> Result[StorePosition, StoreError]:
+    """Decode the response to an append: the position of the record."""
     offset = _int_member(body, 'Offset')
     if offset is None:
         return Err(_malformed_response('append response has no offset'))
-    return Ok(offset)
+    try:
+        return Ok(new_position(era, offset))
+    except ValueError as error:
+        return Err(_malformed_response(str(error)))
 
 
 def decode_listing(body: bytes, era: int | None) -> Result[Listing, StoreError]:
--- a/packages/turmericpost-entry/src/turmericpost/store/errors.py
+++ b/packages/turmericpost-entry/src/turmericpost/store/errors.py
@@ -7,6 +7,8 @@
 
 from result import Result
 
+from turmericpost_core.fleet.store_position import StorePosition
+
 
 class StoreErrorKind(Enum):
     """Why an operation of the store failed.
@@ -46,7 +48,7 @@
     era: int | None = None
 
 
-def append_had_no_effect(appended: Result[int, StoreError]) -> bool:
+def append_had_no_effect(appended: Result[StorePosition, StoreError]) -> bool:
     """Return whether an append failed and certainly had no effect."""
     if appended.is_ok():
         return False
--- a/packages/turmericpost-entry/src/turmericpost/store/record_log.py
+++ b/packages/turmericpost-entry/src/turmericpost/store/record_log.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from turmericpost.store.errors import StoreError
+from turmericpost_core.fleet.store_position import StorePosition
 
 
 @dataclass(frozen=True)
@@ -37,8 +38,8 @@
         self,
         stream: str,
         record: bytes,
-    ) -> Result[int, StoreError]:
-        """Append a record to a stream and return its offset."""
+    ) -> Result[StorePosition, StoreError]:
+        """Append a record to a stream and return its position."""
 
     async def read(
         self,
--- a/packages/turmericpost-entry/tests/configlog/test_configuration_faults.py
+++ b/packages/turmericpost-entry/tests/configlog/test_configuration_faults.py
@@ -28,6 +28,7 @@
     FailureDomain,
     Service,
 )
+from turmericpost_core.fleet.store_position import StorePosition
 
 HISTORY_COUNT = 1000
 
@@ -68,14 +69,14 @@
 
     async def append(
         self, stream: str, record: bytes
-    ) -> Result[int, StoreError]:
+    ) -> Result[StorePosition, StoreError]:
         if self.is_down:
             return Err(StoreError(StoreErrorKind.NOT_SENT, 'down'))
         self.records.append(record)
         if self.loses_response:
             self.loses_response = False
             return Err(StoreError(StoreErrorKind.NO_RESPONSE, 'lost'))
-        return Ok(self.earliest_offset + len(self.records) - 1)
+        return Ok(StorePosition(self.earliest_offset + len(self.records) - 1))
 
     async def read(
         self,
--- a/packages/turmericpost-entry/tests/harness.py
+++ b/packages/turmericpost-entry/tests/harness.py
@@ -37,6 +37,7 @@
     Limits,
     Service,
 )
+from turmericpost_core.fleet.store_position import StorePosition, new_position
 from turmericpost_core.membership.vm_records import VmIdentity, VmRecord
 from turmericpost_core.outcome.reasons import RefusalReason
 from turmericpost_core.routing.balancer import Balancer
@@ -187,10 +188,11 @@
     """In-memory record log whose appends and reads can be made to fail.
 
     With ``loses_replies``, appends store the record but report that there was
-    no response.
+    no response. Responses state ``era``, unless it is ``None``.
     """
 
     def __init__(self) -> None:
+        self.era: int | None = None
         self.streams: dict[str, list[LogRecord]] = {}
         self.append_error: StoreErrorKind | None = None
         self.read_error: StoreErrorKind | None = None
@@ -198,7 +200,7 @@
 
     async def append(
         self, stream: str, record: bytes
-    ) -> Result[int, StoreError]:
+    ) -> Result[StorePosition, StoreError]:
         """Append a record, or return the configured error."""
         if self.append_error is not None:
             return Err(StoreError(self.append_error, 'test'))
@@ -206,7 +208,7 @@
         records.append(LogRecord(len(records), record))
         if self.loses_replies:
             return Err(StoreError(StoreErrorKind.NO_RESPONSE, 'test'))
-        return Ok(len(records) - 1)
+        return Ok(new_position(self.era, len(records) - 1))
 
     async def read(
         self,
@@ -218,7 +220,8 @@
         if self.read_error is not None:
             return Err(StoreError(self.read_error, 'test'))
         records = self.streams.get(stream, [])
-        return Ok(LogBatch(tuple(records[from_offset:]), len(records)))
+        batch = tuple(records[from_offset:])
+        return Ok(LogBatch(batch, len(records), self.era))
 
 
 def vm_record(
--- a/packages/turmericpost-entry/tests/platform/test_store_client.py
+++ b/packages/turmericpost-entry/tests/platform/test_store_client.py
@@ -305,7 +305,7 @@
             return second, await store.client.read('own', 1, 0)
 
         second, read = store.run(steps)
-        self.assertEqual(second.unwrap(), 1)
+        self.assertEqual(second.unwrap(), new_position(1, 1))
         self.assertEqual(read.unwrap().records[0].record, b'two')
         self.assertEqual(read.unwrap().end_offset, 2)
 
