Claims on keys count after the store lost them

Cause: the first record of a key's stream decides who runs its operation. When the store returned from a copy without an acknowledged claim, the next VM's claim got offset 0 and the operation ran a second time.

The VM's first era is a change only if the store did not respond to it before; one that starts just after a return can't tell. Without the header nothing changes. Event 2012, claims-held.

--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -99,6 +99,11 @@
         """
         return self._has_gap
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the last read succeeded; true before the first one."""
+        return self._is_reachable
+
     @property
     def folded_offset(self) -> int:
         """Offset of the next record to read; all earlier ones are applied."""
--- a/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
+++ b/packages/turmericpost-entry/src/turmericpost/forward/forwarder.py
@@ -64,6 +64,7 @@
         keyed_call_context: KeyedCallContext,
         key_claims: KeyClaims,
     ) -> None:
+        self.key_claims = key_claims
         self._reactor = reactor
         self._settings = settings
         self._dependencies = dependencies
--- a/packages/turmericpost-entry/src/turmericpost/node.py
+++ b/packages/turmericpost-entry/src/turmericpost/node.py
@@ -167,6 +167,7 @@
                 self._platform.log,
             ),
         )
+        self._platform.log.on_era(self._era_stated)
         self._caller_port = CallerPort(
             self.forwarder.begin,
             self._settings.callers,
@@ -259,6 +260,10 @@
     def _routing_table(self) -> RoutingTable | None:
         return self.forwarder.table
 
+    def _era_stated(self, era: int) -> None:
+        was_away = not self._platform.follower.is_reachable
+        self.forwarder.key_claims.era_stated(era, was_away=was_away)
+
     def _record_refusal(self, reason: RefusalReason) -> None:
         self.metrics.calls_begun += 1
         self.metrics.refusals[reason] += 1
--- a/packages/turmericpost-entry/src/turmericpost/observe/events.py
+++ b/packages/turmericpost-entry/src/turmericpost/observe/events.py
@@ -76,6 +76,11 @@
         Level.WARNING,
         'the store has lost records that were in force',
     )
+    CLAIMS_HELD = (
+        2012,
+        Level.WARNING,
+        'the store may have lost claims on keys; for a time no new one counts',
+    )
     VIEW_CHANGED = (3001, Level.INFO, 'the membership view changed')
     PEER_MESSAGE_MALFORMED = (
         3002,
