No change takes the number of a revision that the store lost

Cause: after a return from a copy, a VM that had not read the latest revision could publish on the one before. Its change got the number of the lost revision, which was confirmed and still in force elsewhere: two documents under one number. A confirmed change whose append went to the log that returned was judged by the log of the earlier era.

Change: a publisher reads the log before it appends. An append whose answer is of another era than the log that was read is unsettled.

Not covered: a change that another VM confirmed and the store lost between this VM's read and its append.

--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -32,6 +32,10 @@
 SleepFunction: TypeAlias = Callable[[float], Awaitable[Any]]
 
 
+def _ignore_going_back() -> None:
+    """Ignore that the log has lost records."""
+
+
 class ConfigurationFollower:
     """Keeps the configuration up to date from the log and from peers.
 
@@ -58,6 +62,7 @@
         self._log = log
         self._stream = stream
         self._on_change = on_change
+        self._went_back_listener: Callable[[], object] = _ignore_going_back
         self._next = START
         self._replay_end_offset: int | None = None
         self._has_gap = False
@@ -65,6 +70,10 @@
         self._is_reachable = True
         self._is_stopped = False
 
+    def on_went_back(self, listener: Callable[[], object]) -> None:
+        """Call ``listener`` when the log has lost its latest records."""
+        self._went_back_listener = listener
+
     def stop(self) -> None:
         """Stop ``run`` after its current read or pause."""
         self._is_stopped = True
@@ -104,6 +113,11 @@
         """Whether the last read succeeded; true before the first one."""
         return self._is_reachable
 
+    @property
+    def era(self) -> int | None:
+        """Era of the store in which the log is read, if it is known."""
+        return self._next.era
+
     @property
     def folded_offset(self) -> int:
         """Offset of the next record to read; all earlier ones are applied."""
@@ -165,6 +179,7 @@
         self.log_status = LogStatus(has_lost_records=True)
         self._next = new_position(era, 0)
         self._skip_expired(earliest_offset)
+        self._went_back_listener()
 
     def _skip_expired(self, earliest_offset: int) -> None:
         """Continue at the earliest record that the log still has."""
--- a/packages/turmericpost-entry/src/turmericpost/configlog/publisher.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/publisher.py
@@ -21,6 +21,13 @@
     RecordKind,
     encode_record,
 )
+from turmericpost_core.fleet.store_position import StorePosition
+
+RETURN_HOLD_S = 15.0
+"""Seconds after the log lost records in which no change is published.
+
+By then a VM that has a lost revision in force has written it to the log again.
+"""
 
 _MAX_READS = 10
 
@@ -61,6 +68,8 @@
         self._follower = follower
         self._clock = clock
         self._snapshots = snapshots
+        self._held_until_s = float('-inf')
+        follower.on_went_back(self._begin_hold)
 
     async def publish(
         self,
@@ -70,17 +79,14 @@
     ) -> Result[EvaluatedChange, PublishError]:
         """Publish a document as a change to the base revision.
 
-        Returns the verdict on the change. If the log has lost records, a
-        snapshot is written to it first, so that every reader knows the base
-        revision.
+        Returns the verdict on the change. If the log has lost records, none is
+        accepted for a time, since a lost revision may have the number that the
+        change would get. Then a snapshot is written to the log first, so that
+        every reader knows the base revision.
         """
-        if self._follower.has_gap:
-            return Err(_not_accepted('records expired unread; wait for a peer'))
-        if self._follower.log_status.has_lost_records:
-            if not await self._snapshots.write_if_due():
-                return Err(_not_accepted('the log takes no snapshot'))
-        if base_revision > self._follower.configuration.revision:
-            return Err(_not_accepted('no such base revision'))
+        obstacle = await self._find_obstacle(base_revision)
+        if obstacle:
+            return Err(_not_accepted(obstacle))
         change_id = uuid4().hex
         record = ConfigurationRecord(
             kind=RecordKind.CHANGE,
@@ -95,10 +101,34 @@
             detail = appended.unwrap_err().detail
             kind = PublishErrorKind.NOT_ACCEPTED
             return Err(PublishError(kind, change_id, detail))
+        if appended.is_ok() and not self._is_of_log(appended.unwrap()):
+            return Err(_of_unread_era(change_id))
         return await self._await_verdict(
             change_id, is_appended=appended.is_ok()
         )
 
+    async def _find_obstacle(self, base_revision: int) -> str:
+        """Return why no change can be published now, or an empty string."""
+        follower = self._follower
+        if not await follower.read_once(0):
+            return 'the store can not be read'
+        if follower.has_gap:
+            return 'records expired unread; wait for a peer'
+        if self._clock.monotonic_s() < self._held_until_s:
+            return 'the store has lost records; try again later'
+        if follower.log_status.has_lost_records:
+            if not await self._snapshots.write_if_due():
+                return 'the log takes no snapshot'
+        if base_revision > follower.configuration.revision:
+            return 'no such base revision'
+        return ''
+
+    def _begin_hold(self) -> None:
+        self._held_until_s = self._clock.monotonic_s() + RETURN_HOLD_S
+
+    def _is_of_log(self, position: StorePosition) -> bool:
+        return position.is_of_era(self._follower.era)
+
     async def _await_verdict(
         self,
         change_id: str,
@@ -124,6 +154,14 @@
     return PublishError(PublishErrorKind.NOT_ACCEPTED, '', detail)
 
 
+def _of_unread_era(change_id: str) -> PublishError:
+    return PublishError(
+        PublishErrorKind.UNSETTLED,
+        change_id,
+        'the store lost records before it took the change',
+    )
+
+
 def _change_not_found(change_id: str) -> PublishError:
     return PublishError(
         PublishErrorKind.UNSETTLED,
