Leave out the answer to a read from before the store's return

Cause: the long poll and a publisher read the log at the same time. An answer to a read that began before the return, from an offset of the lost log, was processed after the other read had found the return: the records in between were passed over.

Change: an answer is left out if the log went back since the read began.

--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -23,7 +23,11 @@
     decode_record,
 )
 from turmericpost_core.config.snapshots import LogStatus
-from turmericpost_core.fleet.store_position import START, new_position
+from turmericpost_core.fleet.store_position import (
+    START,
+    StorePosition,
+    new_position,
+)
 
 _POLL_TIMEOUT_S = 5
 _RETRY_DELAY_S = 0.5
@@ -92,7 +96,10 @@
         has been reached.
         """
         wait_s = wait_s if self.has_caught_up else 0
-        batch = await self._log.read(self._stream, self._next.offset, wait_s)
+        begin = self._next
+        batch = await self._log.read(self._stream, begin.offset, wait_s)
+        if self._has_gone_back_from(begin):
+            return batch.is_ok()
         if batch.is_ok():
             self._mark_reachable()
             self._process_batch(batch.unwrap())
@@ -158,6 +165,11 @@
         if self._next.offset >= batch.end_offset:
             self._mark_caught_up()
 
+    def _has_gone_back_from(self, begin: StorePosition) -> bool:
+        """Return whether the log has been found to be another one meanwhile."""
+        is_same_log = begin == START or self._next.is_of_era(begin.era)
+        return not is_same_log or self._next.offset < begin.offset
+
     def _go_back(
         self, era: int | None, earliest_offset: int, end_offset: int | None
     ) -> None:
--- a/packages/turmericpost-entry/tests/configlog/test_log_went_back.py
+++ b/packages/turmericpost-entry/tests/configlog/test_log_went_back.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
+
+from twisted.internet.defer import Deferred
 
 from tests.configlog.era_log import (
     EraLog,
@@ -149,6 +152,27 @@
         late = self._start_vm()
         self.assertTrue(late.follower.has_gap)
 
+    # Guards against a read that began before the return and whose answer is
+    # taken as following on what has been read since.
+    def test_answer_to_an_earlier_read_is_left_out(self) -> None:
+        self._publish(6)
+        answers: list[Deferred[Any]] = []
+        read = self.log.read
+
+        def wait(*_: object) -> Deferred[Any]:
+            answers.append(Deferred())
+            return answers[-1]
+
+        self.log.read = wait  # type: ignore[assignment]
+        waiting = Deferred.fromCoroutine(self.reader.follower.read_once(0))
+        self.log.read = read  # type: ignore[method-assign]
+        self.log.return_without_last(3)
+        self.reader.read(1)
+        self.log.records.extend([b'not a record'] * 4)
+        answers[0].callback(run_to_end(read('stream', 6, 0)))
+        self.assertTrue(waiting.called)
+        self.assertEqual(self.reader.follower.folded_offset, 0)
+
     def _write_snapshot(self, vm: LogVm) -> None:
         run_to_end(vm.snapshots.write_if_due())
 
