--- a/packages/turmericpost-entry/src/turmericpost/configlog/tasks.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/tasks.py
@@ -71,15 +71,26 @@
         self._is_writing_snapshot = False
 
     async def _write_periodic_snapshots(self) -> None:
-        """Write due snapshots while rendezvous hashing selects this VM."""
+        """Write due snapshots while rendezvous hashing selects this VM.
+
+        The selected VM may not have a revision that the log has lost. Another VM
+        writes it if the log lacks it at two checks in a row.
+        """
+        follower = self._clients.follower
+        had_lost_records = False
         while not self._is_stopped:
             await deferLater(self._reactor, _SNAPSHOT_CHECK_INTERVAL_S)
-            names = [record.identity.name for record in self._view().live()]
-            if rendezvous_owners(_SNAPSHOT_RING_KEY, names, 1) == (
-                self._own_name,
-            ):
+            has_lost_records = follower.log_status.has_lost_records
+            is_still_lost = had_lost_records and has_lost_records
+            had_lost_records = has_lost_records
+            if is_still_lost or self._is_selected():
                 await self._clients.snapshots.write_if_due()
 
+    def _is_selected(self) -> bool:
+        names = [record.identity.name for record in self._view().live()]
+        owners = rendezvous_owners(_SNAPSHOT_RING_KEY, names, 1)
+        return owners == (self._own_name,)
+
     async def _poll_vm_list(self) -> None:
         """Poll the VM list.
 
