A VM that could not read the log at its start waits before it publishes

Cause: a VM that starts while the store is away, and takes its configuration from a peer, hears only the era after the return. It published at once, and its change could take the number of a lost revision.

Change: the first successful read after failed ones starts the hold of RETURN_HOLD_S, too.

The seeded histories gain a store that states its era, answers a read past the end with 410, and loses records before all VMs have read them; at the end a change must reach all VMs through the log alone. The histories without an era are as before.

--- a/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
+++ b/packages/turmericpost-entry/src/turmericpost/configlog/follower.py
@@ -75,7 +75,11 @@
         self._is_stopped = False
 
     def on_went_back(self, listener: Callable[[], object]) -> None:
-        """Call ``listener`` when the log has lost its latest records."""
+        """Call ``listener`` when the log has lost its latest records.
+
+        It is also called by the first read after failed ones, since the log may
+        have lost records while this VM could not read it.
+        """
         self._went_back_listener = listener
 
     def stop(self) -> None:
@@ -291,11 +295,14 @@
 
     def _mark_reachable(self) -> None:
         if not self._is_reachable:
+            if self._next == START:
+                self._went_back_listener()
             log_event(LogEvent.LOG_REACHABLE)
         self._is_reachable = True
 
     def _handle_error(self, error: StoreError) -> None:
         if error.kind is StoreErrorKind.EXPIRED:
+            self._mark_reachable()
             self._handle_expired(error)
             return
         if self._is_reachable:
--- a/packages/turmericpost-entry/tests/configlog/test_configuration_faults.py
+++ b/packages/turmericpost-entry/tests/configlog/test_configuration_faults.py
@@ -17,7 +17,7 @@
 from result import Err, Ok, Result
 
 from turmericpost.configlog.follower import ConfigurationFollower
-from turmericpost.configlog.publisher import Publisher
+from turmericpost.configlog.publisher import RETURN_HOLD_S, Publisher
 from turmericpost.configlog.snapshots import SnapshotWriter
 from turmericpost.store.errors import StoreError, StoreErrorKind
 from turmericpost.store.record_log import LogBatch, LogRecord
@@ -28,7 +28,7 @@
     FailureDomain,
     Service,
 )
-from turmericpost_core.fleet.store_position import StorePosition
+from turmericpost_core.fleet.store_position import StorePosition, new_position
 
 HISTORY_COUNT = 1000
 
@@ -59,9 +59,14 @@
 
 
 class _FaultyLog:
-    """In-memory log that simulates outages, lost responses and lost records."""
+    """In-memory log that simulates outages, lost responses and lost records.
 
-    def __init__(self) -> None:
+    A store that states its ``era`` answers a read past the end with the
+    earliest offset. One that states none answers it with its end.
+    """
+
+    def __init__(self, era: int | None = None) -> None:
+        self.era = era
         self.earliest_offset = 0
         self.records: list[bytes] = []
         self.is_down = False
@@ -76,7 +81,8 @@
         if self.loses_response:
             self.loses_response = False
             return Err(StoreError(StoreErrorKind.NO_RESPONSE, 'lost'))
-        return Ok(StorePosition(self.earliest_offset + len(self.records) - 1))
+        offset = self.earliest_offset + len(self.records) - 1
+        return Ok(new_position(self.era, offset))
 
     async def read(
         self,
@@ -86,15 +92,17 @@
     ) -> Result[LogBatch, StoreError]:
         if self.is_down:
             return Err(StoreError(StoreErrorKind.NOT_SENT, 'down'))
-        if from_offset < self.earliest_offset:
-            kind = StoreErrorKind.EXPIRED
-            return Err(StoreError(kind, 'expired', self.earliest_offset))
         end = self.earliest_offset + len(self.records)
+        is_past_end = self.era is not None and from_offset > end
+        if from_offset < self.earliest_offset or is_past_end:
+            kind = StoreErrorKind.EXPIRED
+            earliest = self.earliest_offset
+            return Err(StoreError(kind, 'expired', earliest, self.era))
         log_records = tuple(
             LogRecord(offset, self.records[offset - self.earliest_offset])
             for offset in range(from_offset, end)
         )
-        return Ok(LogBatch(log_records, end))
+        return Ok(LogBatch(log_records, end, self.era))
 
     def expire(self, kept_count: int) -> None:
         dropped = max(0, len(self.records) - kept_count)
@@ -103,10 +111,16 @@
 
     def lose_last(self, lost_count: int) -> None:
         self.records = self.records[: max(0, len(self.records) - lost_count)]
+        self._begin_era()
 
     def lose_all(self) -> None:
         self.records.clear()
         self.earliest_offset = 0
+        self._begin_era()
+
+    def _begin_era(self) -> None:
+        if self.era is not None:
+            self.era += 1
 
 
 class _Vm:
@@ -153,9 +167,9 @@
 
 
 class _RandomHistory:
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, era: int | None = None) -> None:
         self.random = Random(seed)
-        self.log = _FaultyLog()
+        self.log = _FaultyLog(era)
         self.clock = _Clock()
         self.vms = [_Vm(self.log, self.clock) for _ in range(_VM_COUNT)]
         self.documents: dict[int, Document] = {}
@@ -163,6 +177,8 @@
         self.accepted_documents: dict[int, Document] = {}
         self.violations: list[str] = []
         self._published_count = 0
+        if era is not None:
+            self._read_all_vms()
         self._publish(self.vms[0])
 
     def run(self) -> None:
@@ -226,6 +242,8 @@
         self.vms[vm_index] = _Vm(self.log, self.clock)
         newest = max(others, key=lambda peer: peer.revision)
         self._send_configuration(newest, self.vms[vm_index])
+        if self.log.era is not None:
+            self.vms[vm_index].read()
 
     def _expire(self, _vm: _Vm) -> None:
         self.log.expire(self.random.randrange(6))
@@ -239,15 +257,22 @@
     def _lose_records(self, vm: _Vm) -> None:
         """Remove records that every VM has read.
 
-        Then let the VMs detect the loss.
+        Then let the VMs detect the loss. Of a store that states its era, the
+        records may be lost before all VMs have read them.
         """
         self.log.is_down = False
-        self._read_all_vms()
+        is_unread = self.log.era is not None and self.random.randrange(2)
+        if not is_unread:
+            self._read_all_vms()
         if self.random.randrange(2):
             self.log.lose_all()
         else:
             self.log.lose_last(self.random.randrange(1, 4))
+        if is_unread:
+            self._publish(vm)
+            self._check_invariants()
         self._read_all_vms()
+        self.clock.now_s += RETURN_HOLD_S
 
     def _read_all_vms(self) -> None:
         for vm in self.vms:
@@ -281,10 +306,26 @@
         self._check_invariants()
         if {vm.revision for vm in self.vms} != {self.highest_revision}:
             self.violations.append('revisions differ at the end')
+        if self.log.era is not None:
+            self._publish_last()
         for revision, document in self.accepted_documents.items():
             if self.documents.get(revision, document) != document:
                 self.violations.append(f'accepted {revision} is not in force')
 
+    def _publish_last(self) -> None:
+        """Publish a change that all VMs read from the log alone."""
+        if all(vm.follower.has_gap for vm in self.vms):
+            return
+        self.clock.now_s += RETURN_HOLD_S
+        expected_revision = self.highest_revision + 1
+        publisher = next(vm for vm in self.vms if not vm.follower.has_gap)
+        document = _document(self._published_count + 1)
+        _run(publisher.publisher.publish(document, publisher.revision, 'amal'))
+        for vm in self.vms:
+            vm.read()
+        if {vm.revision for vm in self.vms} != {expected_revision}:
+            self.violations.append('a change is not in force on all VMs')
+
     def _receive_from_all_peers(self, vm: _Vm) -> None:
         for other in self.vms:
             self._send_configuration(other, vm)
@@ -292,10 +333,18 @@
 
 class ConfigurationFaultsTest(unittest.TestCase):
     def test_revisions_neither_decrease_nor_diverge(self) -> None:
+        self._assert_histories_hold(era=None)
+
+    # Guards against the same when the store states its era and answers a read
+    # past its end like one of expired records.
+    def test_the_same_in_a_store_that_states_its_era(self) -> None:
+        self._assert_histories_hold(era=1)
+
+    def _assert_histories_hold(self, era: int | None) -> None:
         violations_by_seed = {}
         total_revisions = 0
         for seed in range(HISTORY_COUNT):
-            history = _RandomHistory(seed)
+            history = _RandomHistory(seed, era)
             history.run()
             total_revisions += history.highest_revision
             if history.violations:
--- a/packages/turmericpost-entry/tests/configlog/test_publish_after_return.py
+++ b/packages/turmericpost-entry/tests/configlog/test_publish_after_return.py
@@ -74,6 +74,19 @@
         self.first.read()
         self.assertEqual(self.first.revision, 4)
 
+    # Guards against a VM that starts while the store is away, and then can't
+    # tell that the log has lost revisions.
+    def test_vm_that_could_not_read_at_its_start_waits(self) -> None:
+        for earliest in (0, 1):
+            with self.subTest(earliest=earliest):
+                self.log.is_away = True
+                started = LogVm(self.log, self.clock)
+                started.read()
+                self.log.is_away = False
+                self.log.expire_before(earliest)
+                started.read()
+                self._assert_not_accepted(started.publish(41))
+
     # Guards against a change that is confirmed in an era whose log was not
     # read: lost revisions may have the number that it got.
     def test_append_that_tells_of_the_return_is_unsettled(self) -> None:
