Test: explain-request with eras and a held configuration

knowledge-changed has store_era, backends_era and held_config now, and a call's backends are [offset, number]; no test read such lines. Both are printed as they are. explain-server uses neither.

--- a/packages/turmericpost-ctl/tests/test_request_timeline.py
+++ b/packages/turmericpost-ctl/tests/test_request_timeline.py
@@ -29,6 +29,19 @@
     'was': 'warm',
     'standing': 'failing',
 }
+_KNOWLEDGE_CHANGED_EVENT = {
+    'at_utc': '2026-12-04T10:00:01.500',
+    'vm': 'vm1',
+    'name': 'knowledge-changed',
+    'source': 'operator',
+    'config': 5,
+    'store_era': 2,
+    'operator_offset': 2,
+    'backends_era': 2,
+    'backends_version': [10, 0],
+    'lost': ['b1'],
+    'held_config': 5,
+}
 
 
 class RequestTimelineTest(unittest.TestCase):
@@ -78,6 +91,16 @@
         timeline = read_timeline(lines, 'abc')
         self.assertEqual(timeline.changes, [behind])
 
+    # Guards against a timeline that doesn't tell in which era of the store the
+    # VM decided, and that it held a configuration which the store had lost.
+    def test_timeline_tells_the_era_and_the_held_configuration(self) -> None:
+        call = {**_CALL_EVENT, 'config': 5, 'backends': [10, 3]}
+        lines = [json.dumps(_KNOWLEDGE_CHANGED_EVENT), json.dumps(call)]
+        text = '\n'.join(timeline_lines(read_timeline(lines, 'abc'), 'abc'))
+        self.assertIn('  backends: [10, 3]', text)
+        self.assertIn('store_era=2 operator_offset=2 backends_era=2', text)
+        self.assertIn('held_config=5', text)
+
     def test_unknown_request_has_an_empty_timeline(self) -> None:
         timeline = read_timeline([json.dumps(_CALL_EVENT)], 'zzz')
         self.assertEqual(timeline.calls, [])
