Soak: drills of the store

The store takes a copy, is away 0.5 to 6 s later for up to 2 s (closed connections, 503 or silence) and returns with the copy, three times in a run, drawn from a Random of their own: the other faults of a seed are drawn as before. In the lost time one to three versions are published and the servers check in. What operator and servers wrote is written again 0.1 to 2 s after the return, the newest of each key, in a drawn order; the servers check in within 2 s. The last return is 2 s before the last fault may end.

No promise is excused and no bound is changed. The checks with a time bound (added route, left servers, evacuated domains, recovery) begin 5 s after the last fault, so 7 s after the last return at least: StableWindowMs and CatchUpS have passed. At most once, refusals, foreign answers, pauses and leavers are checked all the while.

--- a/packages/turmericpost-entry/tests/gateway/fleet_harness.py
+++ b/packages/turmericpost-entry/tests/gateway/fleet_harness.py
@@ -65,9 +65,11 @@
 class Fleet:
     """A store, entry VMs and backend servers in two failure domains."""
 
-    def __init__(self, vms: int = 2) -> None:
+    def __init__(
+        self, vms: int = 2, store_type: type[StoreService] = StoreService
+    ) -> None:
         self.reactor = EPollReactor()
-        self.store = StoreService(self.reactor)
+        self.store = store_type(self.reactor)
         self.backends: dict[str, PlatformBackend] = {}
         self.nodes: list[GatewayNode] = []
         self.addresses: dict[str, str] = {}
--- a/packages/turmericpost-entry/tests/soak/__main__.py
+++ b/packages/turmericpost-entry/tests/soak/__main__.py
@@ -1,6 +1,6 @@
-"""Runs soaks by hand: ``python -m tests.soak FIRST COUNT [VMS] [FOLDER]``.
+"""Runs soaks by hand.
 
-Prints a line for each seed and the violations. Exit status 1 means that there
+Usage: ``python -m tests.soak FIRST COUNT [VMS] [FOLDER] [DRILLS]``. Prints a line for each seed and the violations. Exit status 1 means that there
 were any. The logs of the VMs go to a folder for each seed below ``FOLDER``.
 """
 
@@ -13,18 +13,22 @@
 from tests.soak.soak import SoakSize, run_soak
 
 _DEFAULT_VMS = 4
+_DEFAULT_DRILLS = 3
 
 
-def main(first: int, count: int, vms: int, folder: Path | None) -> int:
+def main(
+    first: int, count: int, vms: int, folder: Path | None, drills: int
+) -> int:
     """Run the soaks with these seeds and return the exit status."""
     failed = 0
     for seed in range(first, first + count):
         seed_folder = None if folder is None else folder / str(seed)
-        soak = run_soak(seed, SoakSize(vms, 2 * vms), seed_folder)
+        soak = run_soak(seed, SoakSize(vms, 2 * vms, drills), seed_folder)
         statuses = Counter(request.status for request in soak.requests)
         sys.stdout.write(
             f'seed {seed}: {len(soak.requests)} requests {dict(statuses)}, '
-            f'{len(soak.actions)} faults, {len(soak.violations)} violations\n'
+            f'{len(soak.actions)} faults, {len(soak.drills.returns_s)} drills, '
+            f'{len(soak.violations)} violations\n'
         )
         for violation in soak.violations:
             sys.stdout.write(f'  {violation}\n')
@@ -41,5 +45,6 @@
             int(arguments[1]),
             int(arguments[2]) if len(arguments) > 2 else _DEFAULT_VMS,
             Path(arguments[3]) if len(arguments) > 3 else None,
+            int(arguments[4]) if len(arguments) > 4 else _DEFAULT_DRILLS,
         )
     )
--- a/packages/turmericpost-entry/tests/soak/checks.py
+++ b/packages/turmericpost-entry/tests/soak/checks.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+import json
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
 from tests.soak.callers import SentRequest
 from tests.soak.vm_process import CHECK_INTERVAL_S
@@ -73,6 +74,23 @@
             yield f'{vm} refused a request for an added route with {status}'
 
 
+def check_configs(vm: str, log_lines: Iterable[str]) -> Iterator[str]:
+    """Yield the configurations older than one before in the same process."""
+    newest = 0
+    for line in log_lines:
+        event = _parse_event(line)
+        name = event.get('name')
+        if name == 'process-started':
+            newest = 0
+        if name != 'knowledge-changed':
+            continue
+        version = event['config'] or 0
+        if version < newest:
+            at_utc = event['at_utc']
+            yield f'{vm} went back from {newest} to {version} at {at_utc}'
+        newest = max(newest, version)
+
+
 def check_rate_limit(times_s: Sequence[float]) -> Iterator[str]:
     """Yield what is wrong if a limited server got too many requests.
 
@@ -89,6 +107,15 @@
         yield f'{most} requests in 4 s, {_MAX_LIMITED_RUNS} are allowed'
 
 
+def _parse_event(line: str) -> dict[str, Any]:
+    """Return the fields of a log line; none if it is no JSON object."""
+    try:
+        event = json.loads(line)
+    except ValueError:
+        return {}
+    return event if isinstance(event, dict) else {}
+
+
 def _may_be_cut(request: SentRequest, runs: Runs) -> bool:
     """Return whether the caller has to expect a closed connection.
 
--- a/packages/turmericpost-entry/tests/soak/soak.py
+++ b/packages/turmericpost-entry/tests/soak/soak.py
@@ -25,11 +25,13 @@
     LIMIT_PER_S,
     Run,
     check_added_route,
+    check_configs,
     check_rate_limit,
     check_recovery,
     check_request,
     check_servers,
 )
+from tests.soak.drills import Drills, WrittenStore
 from tests.soak.foreign_records import foreign_record
 from tests.soak.statement_checks import check_statements
 from tests.soak.vm_process import CHECK_INTERVAL_S, VmProcess, VmSettings
@@ -40,6 +42,7 @@
 LAST_S = 2.0
 _LIMIT_LEARNED_S = 3.0
 _START_S = 4.0
+_LAST_RETURN_S = 12.0
 _STALE_ADDRESS_S = 3.0
 _MAX_ACTION_PAUSE_S = 0.9
 _DRAIN_S = 2.3
@@ -55,10 +58,14 @@
 
 @dataclass(frozen=True)
 class SoakSize:
-    """Number of VMs and callers; the servers are in proportion."""
+    """Number of VMs and callers; the servers are in proportion.
+
+    ``drills`` is how often the store returns from a copy.
+    """
 
     vms: int = 4
     callers: int = 8
+    drills: int = 3
 
 
 class Soak:
@@ -71,7 +78,10 @@
         self._random = Random(seed)
         self._content_random = Random(f'content of {seed}')
         self._size = size
-        self._fleet = Fleet(vms=0)
+        self._fleet = Fleet(vms=0, store_type=WrittenStore)
+        self.drills = Drills(
+            Random(f'drills of {seed}'), self._fleet, self._configure
+        )
         self._reactor = self._fleet.reactor
         self._version = 1
         self._left: set[str] = set()
@@ -134,7 +144,8 @@
         await self._fleet.pause(_DRAIN_S)
 
     def _schedule_contents(self) -> None:
-        """Schedule odd registrations, and what servers state."""
+        """Schedule drills, odd registrations, and what servers state."""
+        self.drills.schedule(self._size.drills, _LAST_RETURN_S)
         actions = (
             *_STATEMENTS,
             *((Soak._add_foreign_record,) * _FOREIGN_RECORDS),
@@ -201,10 +212,13 @@
         self._random.choice(self._vms).reload()
 
     def _publish(self, *added: dict[str, object]) -> None:
+        self._configure(self._content_random, *added)
+
+    def _configure(self, random: Random, *added: dict[str, object]) -> None:
         """Publish a version; routes without callers come and go."""
         self._version += 1
-        count = self._content_random.randrange(len(_PASSING_ROUTES))
-        passing = self._content_random.sample(_PASSING_ROUTES, count)
+        count = random.randrange(len(_PASSING_ROUTES))
+        passing = random.sample(_PASSING_ROUTES, count)
         self._fleet.configure(self._version, *_ROUTES, *passing, *added)
 
     def _add_foreign_record(self) -> None:
@@ -323,6 +337,9 @@
         runs = self._runs_by_request()
         for vm in self._vms:
             self.violations.extend(vm.faults)
+            self.violations.extend(
+                check_configs(vm.settings.name, vm.log_lines())
+            )
         for request in self.requests:
             request_runs = runs.pop(request.request_id, [])
             self.violations.extend(check_request(request, request_runs))
--- a/packages/turmericpost-entry/tests/soak/test_soak.py
+++ b/packages/turmericpost-entry/tests/soak/test_soak.py
@@ -19,12 +19,15 @@
 class SoakTest(unittest.TestCase):
     # Guards against faults that come in series or at once and make a promise
     # fail: runs at most once, truth of refusals, planned stops that cut off,
-    # rate limits, servers and failure domains that were left, recovery.
+    # rate limits, servers and failure domains that were left, recovery. The
+    # store also returns from copies, after which VMs kept older configurations.
     def test_promises_hold_under_faults(self) -> None:
         for seed in _SEEDS:
             with self.subTest(seed):
-                soak = run_soak(seed, SoakSize())
+                size = SoakSize()
+                soak = run_soak(seed, size)
                 self.assertEqual(soak.violations, [])
+                self.assertEqual(len(soak.drills.returns_s), size.drills)
                 self.assertGreater(len(soak.requests), len(soak.callers))
 
 
--- a/packages/turmericpost-entry/tests/soak/vm_process.py
+++ b/packages/turmericpost-entry/tests/soak/vm_process.py
@@ -191,6 +191,10 @@
             for name, times_s in events.items()
         }
 
+    def log_lines(self) -> list[str]:
+        """Return what all its processes have logged."""
+        return self._log_path.read_text(encoding='utf-8').splitlines()
+
     def start(self) -> None:
         """Start the process; its log is appended to that of earlier ones."""
         self.starts_s.append(self._reactor.seconds())
