--- a/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/directory.py
@@ -234,6 +234,7 @@
                 for known in self.backends.values()
                 if known.backend_id not in new_backends
             )
+            self._earlier_era.record_drains(self.backends, new_backends)
         self.backends = new_backends
         self.version = update.version
         self.next_offset = update.next_offset
--- a/packages/turmericpost-core/src/turmericpost_core/fleet/earlier_era.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/earlier_era.py
@@ -91,7 +91,30 @@
 
     def record_removals(self, removed: Iterable[Backend]) -> None:
         """Record servers that are no longer registered."""
-        self._removed.extend(removed)
+        for backend in removed:
+            self._removed.append(backend)
+            self._present.pop(backend.backend_id, None)
+        if self._present.keys() != self.servers.present.keys():
+            self._update_servers()
+
+    def record_drains(
+        self, known: Mapping[str, Backend], registered: Mapping[str, Backend]
+    ) -> None:
+        """Hold draining servers against a registry that missed the drain.
+
+        The VM that it is from may have found them missing since, and keep them
+        for the time for registering again.
+        """
+        missed = {
+            backend_id: _KnownServer(backend)
+            for backend_id, backend in known.items()
+            if backend.is_draining
+            and backend_id in registered
+            and not registered[backend_id].is_draining
+        }
+        if missed:
+            self._departed.update(missed)
+            self._update_servers()
 
     def begin_era(self, registered: Mapping[str, Backend]) -> None:
         """Hold what is known against the store's older copy.
