A removal between two returns is held; servers keep their time to register

A removal in the era that ends is now held whatever was kept beside it.

The test fails without the change.

--- a/packages/turmericpost-core/src/turmericpost_core/fleet/earlier_era.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/earlier_era.py
@@ -91,11 +91,7 @@
 
     def record_removals(self, removed: Iterable[Backend]) -> None:
         """Record servers that are no longer registered."""
-        for backend in removed:
-            self._removed.append(backend)
-            self._present.pop(backend.backend_id, None)
-        if self._present.keys() != self.servers.present.keys():
-            self._update_servers()
+        self._removed.extend(removed)
 
     def record_drains(
         self, known: Mapping[str, Backend], registered: Mapping[str, Backend]
@@ -121,9 +117,12 @@
 
         ``registered`` are the servers registered before, by id.
         """
+        removed_ids = {backend.backend_id for backend in self._removed}
         in_use = {
             backend.backend_id: backend
             for backend in self.servers.in_use(registered)
+            if backend.backend_id in registered
+            or backend.backend_id not in removed_ids
         }
         departed = dict(self.servers.departed)
         departed.update(
--- a/packages/turmericpost-core/tests/fleet/test_state_eras.py
+++ b/packages/turmericpost-core/tests/fleet/test_state_eras.py
@@ -320,15 +320,17 @@
         used = {known.backend_id: known for known in self.directory.in_use()}
         self.assertEqual(used['b0'].started_ms, 2)
 
-    # Guards against a server that is used though its own record has removed it
-    # again, on a VM that has known of the later era without running since.
-    def test_removal_in_the_new_era_ends_the_grace_time(self) -> None:
+    # Guards against a server that is used after a second return, though its own
+    # record had removed it between, since its time to register was not over.
+    def test_removal_between_two_returns_is_held(self) -> None:
         listed = [entry(2, 0, 0), entry(2, 1, 1)]
         peer = self.new_peer()
         peer.resync(listed, new_position(2, 2), 2)
         self.hear(peer)
         peer.apply_records([removal(2, 2, 0)], 2 + REREGISTRATION_GRACE_S)
         self.hear(peer)
+        listed_again = [entry(3, 0, 0), entry(3, 1, 1)]
+        self.directory.resync(listed_again, new_position(3, 2), 5)
         self.assertEqual(self.used_ids(), {'b1'})
 
     def test_records_of_an_earlier_era_are_skipped(self) -> None:
