--- a/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
+++ b/packages/turmericpost-core/src/turmericpost_core/fleet/state.py
@@ -102,8 +102,8 @@
     def held_config(self) -> int | None:
         """The version in force if the store may have lost it, else ``None``.
 
-        A VM that has not read the store since counts on it for
-        ``EARLIER_ERA_HOLD_S``.
+        A VM that has not read the store in a new era can't know, and assumes so
+        for ``EARLIER_ERA_HOLD_S``.
         """
         in_force = self.versions.config
         if in_force is None or self._unconfirmed_until_s is not None:
--- a/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
+++ b/packages/turmericpost-entry/src/turmericpost/fleet/state_sync.py
@@ -44,9 +44,9 @@
 """Upper limit of the read age in messages, also sent if there was no read."""
 
 STATED_CONFIG_S = 3.0
-"""Time for which a configuration counts that another VM said to hold.
+"""Time for which the statement of another VM counts that it holds a version.
 
-It says so in each heartbeat, of which one a second may be the slowest pace.
+It is repeated with each heartbeat, and with each digest to other domains.
 """
 
 STARTUP_READ_DELAY_S = 0.3
--- a/packages/turmericpost-entry/tests/soak/__main__.py
+++ b/packages/turmericpost-entry/tests/soak/__main__.py
@@ -1,7 +1,8 @@
 """Runs soaks by hand.
 
-Usage: ``python -m tests.soak FIRST COUNT [VMS] [FOLDER] [DRILLS]``. Prints a line for each seed and the violations. Exit status 1 means that there
-were any. The logs of the VMs go to a folder for each seed below ``FOLDER``.
+Usage: ``python -m tests.soak FIRST COUNT [VMS] [FOLDER] [DRILLS]``. Prints a
+line for each seed and the violations. Exit status 1 means that there were any.
+The logs of the VMs go to a folder for each seed below ``FOLDER``.
 """
 
 from __future__ import annotations
